--- /dev/null
+++ b/settings/tree.go
@@ -0,0 +1,68 @@
+package settings
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/peridotlock/peridotlock/finding"
+	"github.com/peridotlock/peridotlock/fleet"
+	"github.com/peridotlock/peridotlock/platform"
+)
+
+// Tree is a checked settings tree with its effective View. It is immutable.
+type Tree struct {
+	root *branch
+	view *View
+}
+
+// Check returns everything that is wrong with a whole tree in one document.
+func Check(file string, data []byte) finding.List {
+	_, found := parseTree(file, data)
+	return found
+}
+
+// Build returns the tree that one document describes. The error is a
+// finding.List with all that is wrong.
+func Build(file string, data []byte) (*Tree, error) {
+	root, found := parseTree(file, data)
+	if err := found.Err(); err != nil {
+		return nil, err
+	}
+	return &Tree{root: root, view: resolve(root, noRevision)}, nil
+}
+
+// noRevision is the revision of a tree that came from no record.
+const noRevision platform.Offset = -1
+
+func parseTree(file string, data []byte) (*branch, finding.List) {
+	root, found := readDocument(Document{File: file, Text: string(data), Revision: noRevision})
+	if root == nil {
+		return nil, found
+	}
+	return root, sortFindings(append(found, checkTree(root)...))
+}
+
+func sortFindings(found finding.List) finding.List {
+	slices.SortStableFunc(found, func(a, b finding.Finding) int {
+		if c := strings.Compare(a.File, b.File); c != 0 {
+			return c
+		}
+		if a.Line != b.Line {
+			return a.Line - b.Line
+		}
+		return a.Column - b.Column
+	})
+	return found
+}
+
+// View returns the effective settings.
+func (t *Tree) View() *View { return t.view }
+
+// Effective returns what is in force at path with its provenance; ok is false
+// when no branch stands there.
+func (t *Tree) Effective(path fleet.Path) (out []Effective, ok bool) {
+	return effectiveAt(t.root, path)
+}
+
+// Has reports whether a branch stands at path.
+func (t *Tree) Has(path fleet.Path) bool { return t.root.find(path) != nil }
