Serve the operators' HTTP interface and add their client

Cause: operators need to publish, read and race edits, take failure domains out, and submit jobs, and must learn whether a command took effect. Ruled out: an editor started by the client (no process may start another); edit sets single keys and publish takes a file. Flags as typed values in the parser (it stops at the first fault); they are texts and checked together. Change: api/command, api/query, api/problem, api/client, daemon/ctl, cmd/peridotctl; job files with places; one bounded YAML reader in finding. Conclusion: tests of the client against a scheduler in memory pass under the race detector; nothing has been run against a real scheduler yet.

--- /dev/null
+++ b/daemon/ctl/flag.go
@@ -0,0 +1,105 @@
+package ctl
+
+import (
+	"net/netip"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/peridotlock/peridotlock/finding"
+	"github.com/peridotlock/peridotlock/platform"
+)
+
+// The forms of output.
+const (
+	outputText = "text"
+	outputJSON = "json"
+)
+
+func (c *commandLine) check() finding.List {
+	var found finding.List
+	for _, s := range c.Server {
+		if _, err := netip.ParseAddrPort(s); err != nil {
+			found.Addf("--server", "%q is not an IP number and port", s)
+		}
+	}
+	if c.Output != outputText && c.Output != outputJSON {
+		found.Addf("--output", "%q is neither %s nor %s", c.Output, outputText, outputJSON)
+	}
+	return found
+}
+
+// unknownFlags returns a finding for each flag that no command has; the parser
+// by itself stops at the first.
+func unknownFlags(parser *kong.Kong, args []string) finding.List {
+	known := map[string]bool{}
+	collectFlags(parser.Model.Node, known)
+	var found finding.List
+	for _, a := range args {
+		if a == "--" {
+			break
+		}
+		name, ok := strings.CutPrefix(a, "--")
+		if !ok {
+			continue
+		}
+		name, _, _ = strings.Cut(name, "=")
+		if !known[name] {
+			found.Addf("--"+name, "unknown flag")
+		}
+	}
+	return found
+}
+
+func collectFlags(n *kong.Node, known map[string]bool) {
+	for _, f := range n.Flags {
+		known[f.Name] = true
+	}
+	for _, child := range n.Children {
+		collectFlags(child, known)
+	}
+}
+
+// outputOf finds the form of output in arguments that could not be parsed.
+func outputOf(args []string) string {
+	for i, a := range args {
+		if a == "--output="+outputJSON || (a == "--output" && i+1 < len(args) && args[i+1] == outputJSON) {
+			return outputJSON
+		}
+	}
+	return outputText
+}
+
+// offset reads a revision; an empty text is absent.
+func offset(found *finding.List, flag, text string, absent platform.Offset) platform.Offset {
+	if text == "" {
+		return absent
+	}
+	n, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || n < -1 {
+		found.Addf(flag, "%q is not a revision", text)
+	}
+	return platform.Offset(n)
+}
+
+func count(found *finding.List, flag, text string, low, high int) int {
+	n, err := strconv.Atoi(text)
+	if err != nil || n < low || n > high {
+		found.Addf(flag, "%q is not a whole number between %d and %d", text, low, high)
+	}
+	return n
+}
+
+// duration reads a positive time; an empty text is 0.
+func duration(found *finding.List, flag, text string) time.Duration {
+	if text == "" {
+		return 0
+	}
+	d, err := time.ParseDuration(text)
+	if err != nil || d <= 0 {
+		found.Addf(flag, "%q is not a duration such as 7s", text)
+	}
+	return d
+}
--- a/settings/check.go
+++ b/settings/check.go
@@ -19,7 +19,7 @@
 }
 
 func (c *checker) addf(at position, b *branch, key, format string, args ...any) {
-	if len(c.found) < maxFindings {
+	if len(c.found) < finding.MaxFindings {
 		c.found = append(c.found, findingAt(at, b.path, key, format, args...))
 	}
 }
--- a/settings/read.go
+++ b/settings/read.go
@@ -23,7 +23,7 @@
 // readDocument returns the branch that the document describes. The branch is
 // nil when the text isn't a YAML mapping.
 func readDocument(d Document) (*branch, finding.List) {
-	n, found := parseNode(d.File, d.Text)
+	n, found := finding.ParseYAML(d.File, d.Text)
 	if len(found) > 0 {
 		return nil, found
 	}
@@ -41,7 +41,7 @@
 }
 
 func (r *reader) addf(path fleet.Path, key string, n *yaml.Node, format string, args ...any) {
-	if len(r.found) >= maxFindings {
+	if len(r.found) >= finding.MaxFindings {
 		return
 	}
 	r.found = append(r.found, findingAt(r.at(n), path, key, format, args...))
@@ -111,7 +111,7 @@
 		r.addf(b.path, f.key, v, "must be a single value")
 		return
 	}
-	if v.Tag == nullTag {
+	if finding.IsNull(v) {
 		r.addf(b.path, f.key, v, "is empty; list it under remove to drop an inherited value")
 		return
 	}
@@ -172,7 +172,7 @@
 	switch {
 	case v.Kind == yaml.MappingNode:
 		b.children[name] = r.branch(path, k, v)
-	case v.Kind == yaml.ScalarNode && v.Tag == nullTag:
+	case finding.IsNull(v):
 		b.children[name] = newBranch(path, v, r.at(k))
 	default:
 		r.addf(path, "", v, "a branch must be a mapping")
--- a/settings/tree.go
+++ b/settings/tree.go
@@ -21,6 +21,13 @@
 	return found
 }
 
+// CheckBranch returns what is wrong with the document of one branch by itself;
+// what depends on the branches above is found when the edit is interpreted.
+func CheckBranch(path fleet.Path, file string, data []byte) finding.List {
+	_, found := readDocument(Document{Branch: path, File: file, Text: string(data), Revision: noRevision})
+	return sortFindings(found)
+}
+
 // Build returns the tree that one document describes. The error is a
 // finding.List with all that is wrong.
 func Build(file string, data []byte) (*Tree, error) {
