--- /dev/null
+++ b/membership/service.go
@@ -0,0 +1,61 @@
+package membership
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// ServiceName is the name of the net/rpc service.
+const ServiceName = "Membership"
+
+// ProbeArgs asks whether the peer lives. Updates starts with the caller itself.
+type ProbeArgs struct {
+	From    string   `cbor:"1,keyasint"`
+	Updates []Update `cbor:"2,keyasint"`
+}
+
+// ProbeReply is the answer to a probe.
+type ProbeReply struct {
+	Updates []Update `cbor:"1,keyasint"`
+}
+
+// ConfirmArgs asks the peer to probe a third member.
+type ConfirmArgs struct {
+	From   string `cbor:"1,keyasint"`
+	Target Update `cbor:"2,keyasint"`
+}
+
+// ConfirmReply says whether the third member answered.
+type ConfirmReply struct {
+	Answered bool     `cbor:"1,keyasint"`
+	Updates  []Update `cbor:"2,keyasint"`
+}
+
+// Service answers the probes of peers. Register it under ServiceName.
+type Service struct{ p *Prober }
+
+// Probe answers a peer's probe.
+func (s *Service) Probe(a ProbeArgs, r *ProbeReply) error {
+	r.Updates = s.p.exchange(a.From, a.Updates)
+	return nil
+}
+
+// Confirm probes a third member on behalf of a peer.
+func (s *Service) Confirm(a ConfirmArgs, r *ConfirmReply) error {
+	r.Answered = s.p.probe(context.Background(), a.Target.ID, a.Target.Control) == nil
+	r.Updates = s.p.exchange(a.From, nil)
+	return nil
+}
+
+// guarded is a table behind a mutex.
+type guarded struct {
+	mu    sync.Mutex // protects table
+	table *Table
+}
+
+func (g *guarded) do(fn func(t *Table, now time.Time)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	fn(g.table, time.Now())
+}
