--- /dev/null
+++ b/daemon/standin/call.go
@@ -0,0 +1,90 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/peridotlock/peridotlock/fleet"
+	"github.com/peridotlock/peridotlock/standin/caller"
+)
+
+// countsTimeout bounds the query of the ledger.
+const countsTimeout = 10 * time.Second
+
+// callCommand sends a mix of requests and checks the answers.
+type callCommand struct {
+	Entry    []string      `required:"" help:"Callers' addresses of the entries."`
+	Ready    []string      `help:"Readiness URLs of the entries, in the same order."`
+	Control  string        `required:"" help:"Control address of the stand-ins."`
+	Name     string        `default:"call" help:"Beginning of the request ids."`
+	Rate     float64       `default:"100" help:"Requests a second."`
+	Duration time.Duration `default:"5s" help:"How long to send."`
+	Deadline time.Duration `default:"5s" help:"Deadline of a request."`
+	Lookup   string        `default:"/registry/pipes" help:"Path of idempotent requests."`
+	Order    string        `default:"/registry/records" help:"Path of non-idempotent requests."`
+	Watch    string        `default:"/registry/watch" help:"Path of watches."`
+}
+
+// shapes is the mix: mostly lookups, some orders, a few large answers and
+// watches.
+func shapes(lookup, order, watch string) []caller.Shape {
+	return []caller.Shape{
+		{Class: fleet.Idempotent, Method: http.MethodGet, Path: lookup, Weight: 70, Bytes: 2 << 10},
+		{Class: fleet.Idempotent, Method: http.MethodGet, Path: lookup, Weight: 2, Bytes: 512 << 10},
+		{Class: fleet.NonIdempotent, Method: http.MethodPost, Path: order, Weight: 26, Bytes: 512},
+		{Class: fleet.Watch, Method: http.MethodGet, Path: watch, Weight: 2},
+	}
+}
+
+// run prints the summary as JSON. It fails when anything was lost, doubled or
+// misreported.
+func (c callCommand) run(ctx context.Context, stdout, stderr io.Writer) int {
+	callers := caller.New(caller.Options{
+		Name: c.Name, Entries: c.entries(), Shapes: shapes(c.Lookup, c.Order, c.Watch), Rate: c.Rate, Deadline: c.Deadline,
+	})
+	ctx, cancel := context.WithTimeout(ctx, c.Duration)
+	defer cancel()
+	callers.Run(ctx)
+	counts, err := c.executionCounts()
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return exitFailed
+	}
+	summary := callers.Summary(counts)
+	enc := json.NewEncoder(stdout)
+	enc.SetIndent("", "  ")
+	if err := enc.Encode(summary); err != nil || !summary.IsSound() {
+		return exitFailed
+	}
+	return exitOK
+}
+
+func (c callCommand) entries() []caller.Entry {
+	var out []caller.Entry
+	for i, addr := range c.Entry {
+		e := caller.Entry{Address: addr}
+		if i < len(c.Ready) {
+			e.Ready = c.Ready[i]
+		}
+		out = append(out, e)
+	}
+	return out
+}
+
+func (c callCommand) executionCounts() (map[string]int, error) {
+	client := http.Client{Timeout: countsTimeout}
+	resp, err := client.Get("http://" + c.Control + "/control/ledger/counts")
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	var counts map[string]int
+	if err := json.NewDecoder(resp.Body).Decode(&counts); err != nil {
+		return nil, fmt.Errorf("decode ledger: %w", err)
+	}
+	return counts, nil
+}
--- a/daemon/standin/standin.go
+++ b/daemon/standin/standin.go
@@ -22,6 +22,7 @@
 // commands are the subcommands.
 type commands struct {
 	Serve serveCommand `cmd:"" help:"Host the log, the VM list, workers and executors until terminated."`
+	Call  callCommand  `cmd:"" help:"Send a mix of requests through the entries and check the answers."`
 }
 
 type serveCommand struct {
@@ -43,7 +44,7 @@
 		fmt.Fprintln(stderr, err)
 		return exitFailed
 	}
-	_, err = parser.Parse(args)
+	parsed, err := parser.Parse(args)
 	if exit >= 0 {
 		return exit
 	}
@@ -51,6 +52,9 @@
 		fmt.Fprintln(stderr, err)
 		return exitBadInput
 	}
+	if parsed.Command() == "call" {
+		return c.Call.run(ctx, stdout, stderr)
+	}
 	return c.Serve.run(ctx, stdout, stderr)
 }
 
--- a/standin/control.go
+++ b/standin/control.go
@@ -44,6 +44,7 @@
 	mux.HandleFunc("GET /control/ledger/executions", func(w http.ResponseWriter, r *http.Request) {
 		write(w, d.Ledger.Executions(r.FormValue("request")))
 	})
+	mux.HandleFunc("GET /control/ledger/counts", func(w http.ResponseWriter, _ *http.Request) { write(w, d.Ledger.ExecutionCounts()) })
 	mux.HandleFunc("POST /control/faults", change(d.setFault))
 	mux.HandleFunc("POST /control/vms", change(d.setVM))
 	mux.HandleFunc("POST /control/trim", change(d.trim))
--- a/standin/executor/executor.go
+++ b/standin/executor/executor.go
@@ -47,6 +47,7 @@
 func (e *Executor) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f, _, _ := e.faults.Get(e.opts.ID)
 	if f.Leaving {
+		w.Header().Set("Connection", "close")
 		refuse(w, "leaving")
 		return
 	}
--- a/standin/ledger/query.go
+++ b/standin/ledger/query.go
@@ -96,3 +96,14 @@
 	}
 	return out
 }
+
+// ExecutionCounts returns how often each request was executed.
+func (l *Ledger) ExecutionCounts() map[string]int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make(map[string]int, len(l.requests))
+	for id, executions := range l.requests {
+		out[id] = len(executions)
+	}
+	return out
+}
