Serve requests from entry to endpoint and back

Cause: the path of a request did not exist yet. Change: routing, admission, balancing, retry budget, connection pool with net/http's codec, whole answers, watches, drain, daemon and command. Ruled out: http.Transport, since it may hand a connection on before it saw surplus bytes of an earlier answer, retries by itself, and does not tell whether a byte of a request was written.

--- /dev/null
+++ b/entry/balance/health.go
@@ -0,0 +1,73 @@
+package balance
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+const (
+	ejectAfter   = 3 // failures in a row
+	minEjection  = time.Second
+	maxEjection  = 30 * time.Second
+	leavingPause = 30 * time.Second // no new work after an endpoint said that it leaves
+	maxDoublings = 5
+)
+
+// Health tells whether an endpoint may get work. Times are nanoseconds.
+type Health struct {
+	failures  atomic.Int32 // in a row
+	ejections atomic.Int32 // since the last success
+	ejected   atomic.Int64 // until; 0 when not ejected
+	leaving   atomic.Int64 // until
+	probe     atomic.Bool  // one request tries whether it has recovered
+}
+
+// Succeed records a good answer. It reports whether the endpoint was ejected.
+func (h *Health) Succeed() bool {
+	if h.failures.Load() != 0 {
+		h.failures.Store(0)
+	}
+	if h.ejected.Load() == 0 {
+		return false
+	}
+	h.ejections.Store(0)
+	h.probe.Store(false)
+	return h.ejected.Swap(0) != 0
+}
+
+// Fail records a failure at now. It reports whether the endpoint ought to be
+// ejected.
+func (h *Health) Fail(now time.Time) bool {
+	if h.ejected.Load() != 0 {
+		h.Eject(now)
+		return false
+	}
+	return h.failures.Add(1) >= ejectAfter
+}
+
+// Eject takes the endpoint out for a time that doubles with each ejection.
+func (h *Health) Eject(now time.Time) {
+	n := min(h.ejections.Add(1)-1, maxDoublings)
+	h.failures.Store(0)
+	h.ejected.Store(now.Add(min(minEjection<<n, maxEjection)).UnixNano())
+	h.probe.Store(false)
+}
+
+// IsEjected reports whether the endpoint is ejected or being probed.
+func (h *Health) IsEjected() bool { return h.ejected.Load() != 0 }
+
+// Leave records that the endpoint said that it leaves.
+func (h *Health) Leave(now time.Time) { h.leaving.Store(now.Add(leavingPause).UnixNano()) }
+
+// IsLeaving reports whether the endpoint gets no new work for now.
+func (h *Health) IsLeaving(now time.Time) bool { return now.UnixNano() < h.leaving.Load() }
+
+// TryProbe reports whether the ejection is over and this request may try the
+// endpoint; it is true once until the next success or failure.
+func (h *Health) TryProbe(now time.Time) bool {
+	until := h.ejected.Load()
+	return until != 0 && now.UnixNano() >= until && h.probe.CompareAndSwap(false, true)
+}
+
+// EndProbe lets another request probe, when one ended without a verdict.
+func (h *Health) EndProbe() { h.probe.Store(false) }
--- /dev/null
+++ b/entry/metrics.go
@@ -0,0 +1,80 @@
+package entry
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/peridotlock/peridotlock/entry/answer"
+	"github.com/peridotlock/peridotlock/fleet"
+)
+
+// latencyBounds are the upper bounds of the latency buckets.
+var latencyBounds = [...]time.Duration{
+	time.Millisecond, 2 * time.Millisecond, 5 * time.Millisecond, 10 * time.Millisecond, 20 * time.Millisecond,
+	50 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond, 500 * time.Millisecond, time.Second,
+	2 * time.Second, 5 * time.Second, 10 * time.Second,
+}
+
+const answered = "answered" // an endpoint's answer was passed on whole
+
+// Metrics counts what the entry does. Its counters take no lock; latencies are
+// counted in buckets because the library's histograms are locked.
+type Metrics struct {
+	set       *metrics.Set
+	requests  map[fleet.RequestClass]map[string]*metrics.Counter
+	latency   map[fleet.RequestClass][]*metrics.Counter
+	Retries   *metrics.Counter // attempts after a failed one
+	Hedges    *metrics.Counter // attempts beside a slow one
+	Ejections *metrics.Counter // of endpoints
+	Renewals  *metrics.Counter // of connection pools after a silence
+	LinkBytes *metrics.Counter // across the link between regions
+	Aborted   *metrics.Counter // streamed answers cut short
+}
+
+func newMetrics() *Metrics {
+	set := metrics.NewSet()
+	m := &Metrics{
+		set:       set,
+		requests:  make(map[fleet.RequestClass]map[string]*metrics.Counter),
+		latency:   make(map[fleet.RequestClass][]*metrics.Counter),
+		Retries:   set.NewCounter(`peridotlock_entry_retries_total`),
+		Hedges:    set.NewCounter(`peridotlock_entry_hedges_total`),
+		Ejections: set.NewCounter(`peridotlock_entry_ejections_total`),
+		Renewals:  set.NewCounter(`peridotlock_entry_pool_renewals_total`),
+		LinkBytes: set.NewCounter(`peridotlock_entry_link_bytes_total`),
+		Aborted:   set.NewCounter(`peridotlock_entry_aborted_answers_total`),
+	}
+	for _, class := range []fleet.RequestClass{"", fleet.Idempotent, fleet.NonIdempotent, fleet.Watch} {
+		m.addClass(class)
+	}
+	return m
+}
+
+func (m *Metrics) addClass(class fleet.RequestClass) {
+	m.requests[class] = make(map[string]*metrics.Counter)
+	for _, outcome := range []string{answered, string(answer.NotRun), string(answer.Unknown), string(answer.Failed)} {
+		name := fmt.Sprintf(`peridotlock_entry_requests_total{class=%q,outcome=%q}`, class, outcome)
+		m.requests[class][outcome] = m.set.NewCounter(name)
+	}
+	for _, bound := range latencyBounds {
+		name := fmt.Sprintf(`peridotlock_entry_request_seconds_bucket{class=%q,le="%g"}`, class, bound.Seconds())
+		m.latency[class] = append(m.latency[class], m.set.NewCounter(name))
+	}
+}
+
+// observe counts a request that ended. Watches have no latency.
+func (m *Metrics) observe(class fleet.RequestClass, outcome string, d time.Duration) {
+	m.requests[class][outcome].Inc()
+	if class == fleet.Watch {
+		return
+	}
+	for i := len(latencyBounds) - 1; i >= 0 && d <= latencyBounds[i]; i-- {
+		m.latency[class][i].Inc()
+	}
+}
+
+// Write writes all metrics in the Prometheus text format.
+func (m *Metrics) Write(w io.Writer) { m.set.WritePrometheus(w) }
--- /dev/null
+++ b/entry/pool/body.go
@@ -0,0 +1,122 @@
+package pool
+
+import (
+	"io"
+	"net/http"
+	"sync"
+)
+
+// buffers holds read buffers for answers of unknown length.
+var buffers = sync.Pool{New: func() any { return new([32 << 10]byte) }}
+
+// readBody reads a small answer whole and returns its connection; of a large
+// one it leaves the remainder in Rest.
+func (x *Exchange) readBody(p *Pool, c *conn, resp *http.Response, stop func() bool) (*Answer, error) {
+	a := &Answer{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Close: resp.Close}
+	rest := &rest{body: resp.Body, pool: p, conn: c, stop: stop, reusable: !resp.Close}
+	if resp.Body == http.NoBody {
+		rest.whole = true
+		return a, rest.Close()
+	}
+	if resp.ContentLength > x.BufferBytes || x.BufferBytes == 0 {
+		return x.leave(a, rest)
+	}
+	body, whole, err := readUpTo(resp.Body, resp.ContentLength, x.BufferBytes)
+	if err != nil {
+		return nil, err
+	}
+	a.Body = body
+	if !whole {
+		return x.leave(a, rest)
+	}
+	if a.Length < 0 {
+		a.Length = int64(len(body))
+	}
+	if c.reader.Buffered() > 0 {
+		return nil, &Error{Fault: FaultMalformed, Err: errSurplus}
+	}
+	rest.whole = true
+	return a, rest.Close()
+}
+
+// leave hands the unread part to the caller of the exchange.
+func (x *Exchange) leave(a *Answer, r *rest) (*Answer, error) {
+	r.conn.SetDeadline(x.Final)
+	a.Rest = r
+	return a, nil
+}
+
+// readUpTo reads r to its end, or a little more than limit bytes of it.
+func readUpTo(r io.Reader, length, limit int64) (body []byte, whole bool, err error) {
+	if length >= 0 {
+		body = make([]byte, length)
+		if _, err = io.ReadFull(r, body); err != nil {
+			return nil, false, unexpected(err)
+		}
+		return body, true, drained(r)
+	}
+	chunk := buffers.Get().(*[32 << 10]byte)
+	defer buffers.Put(chunk)
+	for int64(len(body)) <= limit {
+		n, err := r.Read(chunk[:])
+		body = append(body, chunk[:n]...)
+		if err == io.EOF {
+			return body, true, nil
+		}
+		if err != nil {
+			return nil, false, err
+		}
+	}
+	return body, false, nil
+}
+
+// drained makes the body see its end.
+func drained(r io.Reader) error {
+	var b [1]byte
+	if _, err := r.Read(b[:]); err != io.EOF {
+		return unexpected(err)
+	}
+	return nil
+}
+
+func unexpected(err error) error {
+	if err == nil || err == io.EOF {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// rest is the unread part of an answer. Closing it returns the connection when
+// the answer was read to its end, and closes it otherwise.
+type rest struct {
+	body     io.ReadCloser
+	pool     *Pool
+	conn     *conn
+	stop     func() bool
+	reusable bool
+	whole    bool
+	closed   bool
+}
+
+// Read implements io.Reader.
+func (r *rest) Read(b []byte) (int, error) {
+	n, err := r.body.Read(b)
+	if err == io.EOF {
+		r.whole = true
+	}
+	return n, err
+}
+
+// Close implements io.Closer.
+func (r *rest) Close() error {
+	if r.closed {
+		return nil
+	}
+	r.closed = true
+	if r.stop() && r.whole && r.reusable && r.conn.reader.Buffered() == 0 {
+		r.pool.put(r.conn)
+		return nil
+	}
+	r.pool.discard(r.conn)
+	return nil
+}
--- /dev/null
+++ b/entry/pool/pool.go
@@ -0,0 +1,155 @@
+// Package pool keeps the connections to one endpoint and makes exchanges over
+// them. It uses the request and response codec of net/http on connections of
+// its own, not http.Transport: a pool here tells whether a byte of a request
+// was written, never sends a request twice, and hands no connection on that
+// holds bytes of an earlier answer.
+package pool
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	connectTimeout = time.Second
+	idleTimeout    = 30 * time.Second
+)
+
+var errFull = errors.New("as many connections as allowed are open")
+
+// Pool holds the connections to one endpoint. Its lock is taken by the
+// requests to this endpoint only.
+type Pool struct {
+	addr    string
+	max     atomic.Int32
+	open    atomic.Int32
+	probing atomic.Bool
+
+	mu         sync.Mutex // protects idle, generation
+	idle       []*conn    // last used last
+	generation uint64
+}
+
+// New returns an empty pool of at most max connections to addr.
+func New(addr string, max int) *Pool {
+	p := &Pool{addr: addr}
+	p.SetMax(max)
+	return p
+}
+
+// SetMax changes the number of connections allowed.
+func (p *Pool) SetMax(max int) { p.max.Store(int32(max)) }
+
+// Open returns the number of open connections.
+func (p *Pool) Open() int { return int(p.open.Load()) }
+
+// get returns a quiet idle connection or a new one.
+func (p *Pool) get(ctx context.Context) (*conn, error) {
+	for {
+		c := p.takeIdle()
+		if c == nil {
+			return p.connect(ctx)
+		}
+		if time.Since(c.idleSince) < idleTimeout && c.isQuiet() {
+			return c, nil
+		}
+		p.discard(c)
+	}
+}
+
+func (p *Pool) takeIdle() *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := len(p.idle)
+	if n == 0 {
+		return nil
+	}
+	c := p.idle[n-1]
+	p.idle = p.idle[:n-1]
+	return c
+}
+
+func (p *Pool) connect(ctx context.Context) (*conn, error) {
+	if p.open.Add(1) > p.max.Load() {
+		p.open.Add(-1)
+		return nil, &Error{Fault: FaultFull, Err: errFull}
+	}
+	p.mu.Lock()
+	generation := p.generation
+	p.mu.Unlock()
+	dialer := net.Dialer{Timeout: connectTimeout}
+	c, err := dialer.DialContext(ctx, "tcp", p.addr)
+	if err != nil {
+		p.open.Add(-1)
+		return nil, &Error{Fault: FaultConnect, Err: err}
+	}
+	return newConn(c, generation), nil
+}
+
+// put makes c available again unless its generation was retired.
+func (p *Pool) put(c *conn) {
+	c.idleSince = time.Now()
+	p.mu.Lock()
+	current := c.generation == p.generation
+	if current {
+		p.idle = append(p.idle, c)
+	}
+	p.mu.Unlock()
+	if !current {
+		p.discard(c)
+	}
+}
+
+func (p *Pool) discard(c *conn) {
+	c.Close()
+	p.open.Add(-1)
+}
+
+// Retire closes the idle connections; those in use are closed when their
+// exchange ends.
+func (p *Pool) Retire() {
+	p.mu.Lock()
+	p.generation++
+	idle := p.idle
+	p.idle = nil
+	p.mu.Unlock()
+	for _, c := range idle {
+		p.discard(c)
+	}
+}
+
+// Probe makes a fresh connection. When that works, the endpoint is reachable
+// and the older connections are retired. Only one probe runs at a time; done
+// is called with the result of this one.
+func (p *Pool) Probe(done func(error)) {
+	if !p.probing.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer p.probing.Store(false)
+		done(p.renew())
+	}()
+}
+
+func (p *Pool) renew() error {
+	dialer := net.Dialer{Timeout: connectTimeout}
+	c, err := dialer.Dial("tcp", p.addr)
+	if err != nil {
+		return &Error{Fault: FaultConnect, Err: err}
+	}
+	p.Retire()
+	if p.open.Add(1) > p.max.Load() {
+		p.open.Add(-1)
+		c.Close()
+		return nil
+	}
+	p.mu.Lock()
+	generation := p.generation
+	p.mu.Unlock()
+	p.put(newConn(c, generation))
+	return nil
+}
--- /dev/null
+++ b/entry/race.go
@@ -0,0 +1,213 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"github.com/peridotlock/peridotlock/entry/answer"
+	"github.com/peridotlock/peridotlock/entry/balance"
+	"github.com/peridotlock/peridotlock/entry/pool"
+	"github.com/peridotlock/peridotlock/entry/retry"
+)
+
+const (
+	minHedge   = 5 * time.Millisecond
+	firstHedge = 500 * time.Millisecond // before anything is learned
+)
+
+// race runs the attempts of one idempotent request. The first whole answer
+// wins; all others are dropped.
+type race struct {
+	call    *call
+	ctx     context.Context
+	cancel  context.CancelFunc
+	budget  *retry.Budget
+	results chan result
+	won     atomic.Bool
+	pending int
+	made    int
+	last    *balance.Endpoint
+	failed  result // last attempt without a good answer
+	written bool   // some attempt may have reached an endpoint
+}
+
+type result struct {
+	answer *pool.Answer
+	slot   *balance.Slot
+	err    error
+}
+
+// isGood reports whether the answer can be passed on at once.
+func (r result) isGood() bool { return r.err == nil && !isFailing(r.answer.Status) }
+
+// race sends an idempotent request, again where it failed and beside where it
+// is slow, within the retry budget.
+func (c *call) race() *answer.Problem {
+	slot, problem := c.admit(nil)
+	if problem != nil {
+		return problem
+	}
+	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
+	defer cancel()
+	r := &race{
+		call:    c,
+		ctx:     ctx,
+		cancel:  cancel,
+		budget:  c.entry.budgets.Of(c.caller, c.service.path),
+		results: make(chan result, max(1, c.policy.MaxAttempts)),
+	}
+	r.budget.Deposit(c.policy.RetryBudget)
+	r.launch(slot, attemptFirst)
+	return r.run()
+}
+
+func (r *race) launch(slot *balance.Slot, kind attemptKind) {
+	r.made++
+	r.pending++
+	r.last = slot.Endpoint
+	go func() {
+		a, err := r.call.attempt(r.ctx, slot, kind)
+		r.end(result{answer: a, slot: slot, err: err})
+	}()
+}
+
+// errLargeFailure stands for an error answer that is too large to be kept.
+var errLargeFailure = errors.New("endpoint failed with a large answer")
+
+// end hands the result over, unless another attempt has won. A slot is kept
+// only while an answer streams.
+func (r *race) end(res result) {
+	if res.err == nil && res.answer.Rest != nil && !res.isGood() {
+		res.answer.Rest.Close()
+		res = result{slot: res.slot, err: &pool.Error{Fault: pool.FaultCut, Written: true, Err: errLargeFailure}}
+	}
+	if res.err != nil || res.answer.Rest == nil {
+		res.slot.Release()
+	}
+	if res.isGood() && !r.won.CompareAndSwap(false, true) {
+		res.drop()
+		return
+	}
+	r.results <- res
+}
+
+func (r result) drop() {
+	if r.answer != nil && r.answer.Rest != nil {
+		r.answer.Rest.Close()
+	}
+	r.slot.Release()
+}
+
+func (r *race) run() *answer.Problem {
+	delay := r.hedgeDelay()
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	for {
+		select {
+		case res := <-r.results:
+			r.pending--
+			if res.isGood() {
+				return r.deliver(res)
+			}
+			r.note(res)
+			if problem, done := r.again(); done {
+				return problem
+			}
+		case <-timer.C:
+			r.hedge()
+			delay *= 2
+			timer.Reset(delay)
+		case <-r.ctx.Done():
+			return r.abandon()
+		}
+	}
+}
+
+func (r *race) hedgeDelay() time.Duration {
+	tail := r.call.service.set.Latency.Tail()
+	if tail == 0 {
+		return firstHedge
+	}
+	return max(tail, minHedge)
+}
+
+// hedge makes another attempt beside the slow ones when a slot is free.
+func (r *race) hedge() {
+	if r.made >= r.call.policy.MaxAttempts || r.pending == 0 {
+		return
+	}
+	slot := r.call.service.queue.TryAcquire(balance.Choice{Now: time.Now(), Avoid: r.last})
+	if slot == nil {
+		return
+	}
+	if slot.Endpoint == r.last || !r.budget.Withdraw() {
+		slot.Release()
+		return
+	}
+	r.call.entry.metrics.Hedges.Inc()
+	r.launch(slot, attemptHedge)
+}
+
+func (r *race) note(res result) {
+	if res.err == nil || isWritten(res.err) {
+		r.written = true
+	}
+	r.failed = res
+}
+
+// again retries after a failed attempt. A retry of what was not written costs
+// no budget. It reports whether the request is decided.
+func (r *race) again() (*answer.Problem, bool) {
+	if r.pending > 0 {
+		return nil, false
+	}
+	if r.made >= r.call.policy.MaxAttempts || !r.mayRetry() {
+		return r.giveUp(), true
+	}
+	slot, problem := r.call.admit(r.last)
+	if problem != nil {
+		return r.giveUp(), true
+	}
+	r.call.entry.metrics.Retries.Inc()
+	r.launch(slot, attemptRetry)
+	return nil, false
+}
+
+func (r *race) mayRetry() bool {
+	if r.failed.err != nil && !isWritten(r.failed.err) {
+		return true
+	}
+	return r.budget.Withdraw()
+}
+
+// giveUp passes on the endpoint's own error answer, if any.
+func (r *race) giveUp() *answer.Problem {
+	if r.failed.err == nil {
+		return r.deliver(r.failed)
+	}
+	if !r.written {
+		return overload("unreachable", "No endpoint could be reached", r.failed.err.Error(), comeBack)
+	}
+	return r.call.failure(r.failed.err)
+}
+
+func (r *race) deliver(res result) *answer.Problem {
+	if res.answer.Rest == nil {
+		r.cancel() // ends the attempts that lost
+	}
+	return r.call.deliverFrom(res.slot, res.answer)
+}
+
+// abandon ends a request whose deadline passed or whose caller is gone.
+func (r *race) abandon() *answer.Problem {
+	if !r.won.CompareAndSwap(false, true) {
+		for res := range r.results {
+			if res.isGood() {
+				return r.deliver(res)
+			}
+		}
+	}
+	return r.call.failure(errors.Join(r.ctx.Err(), r.failed.err))
+}
--- /dev/null
+++ b/entry/retry/budget.go
@@ -0,0 +1,83 @@
+// Package retry bounds the extra attempts, retries and hedges alike, that a
+// caller may cause at a set of endpoints.
+package retry
+
+import (
+	"sync"
+	"sync/atomic"
+)
+
+const (
+	unit       = 1000    // parts of a token
+	burst      = 10      // tokens
+	maxBudgets = 1 << 14 // callers and services remembered
+)
+
+// Budget is a token bucket that first attempts fill. It is safe for concurrent
+// use without locks.
+type Budget struct{ tokens atomic.Int64 }
+
+// NewBudget returns a full budget.
+func NewBudget() *Budget {
+	b := &Budget{}
+	b.tokens.Store(burst * unit)
+	return b
+}
+
+// Deposit adds share tokens for one first attempt.
+func (b *Budget) Deposit(share float64) {
+	for {
+		old := b.tokens.Load()
+		next := min(old+int64(share*unit), burst*unit)
+		if next == old || b.tokens.CompareAndSwap(old, next) {
+			return
+		}
+	}
+}
+
+// Withdraw takes a token and reports whether there was one.
+func (b *Budget) Withdraw() bool {
+	for {
+		old := b.tokens.Load()
+		if old < unit {
+			return false
+		}
+		if b.tokens.CompareAndSwap(old, old-unit) {
+			return true
+		}
+	}
+}
+
+type key struct{ caller, service string }
+
+type table struct {
+	budgets sync.Map // key to *Budget
+	size    atomic.Int64
+}
+
+// Budgets holds a budget for each caller and service. When it is full it
+// starts afresh.
+type Budgets struct{ current atomic.Pointer[table] }
+
+// NewBudgets returns an empty set.
+func NewBudgets() *Budgets {
+	s := &Budgets{}
+	s.current.Store(&table{})
+	return s
+}
+
+// Of returns the budget of the caller at the service.
+func (s *Budgets) Of(caller, service string) *Budget {
+	t := s.current.Load()
+	k := key{caller, service}
+	if b, ok := t.budgets.Load(k); ok {
+		return b.(*Budget)
+	}
+	if t.size.Add(1) > maxBudgets {
+		fresh := &table{}
+		s.current.CompareAndSwap(t, fresh)
+		t = s.current.Load()
+	}
+	b, _ := t.budgets.LoadOrStore(k, NewBudget())
+	return b.(*Budget)
+}
