--- /dev/null
+++ b/load/fault.go
@@ -0,0 +1,135 @@
+package load
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Fault is what an endpoint does wrong with one request.
+type Fault string
+
+// The faults of an endpoint.
+const (
+	FaultNone     Fault = ""
+	FaultRefuse   Fault = "refuse"    // closes after reading, without running
+	FaultDrop     Fault = "drop"      // runs and closes without an answer
+	FaultCut      Fault = "cut"       // ends in the middle of the body
+	FaultHeader   Fault = "header"    // ends in the middle of the header
+	FaultShort    Fault = "short"     // sends less than the length says and stays open
+	FaultLong     Fault = "long"      // sends more than the length says
+	FaultNoEnd    Fault = "no-end"    // sends neither length nor end marker
+	FaultTwice    Fault = "twice"     // sends the answer twice
+	FaultForever  Fault = "forever"   // never ends the body
+	FaultLate     Fault = "late"      // answers after a long time
+	FaultSilent   Fault = "silent"    // runs and never answers
+	FaultLeave    Fault = "leave"     // 503 and Connection: close, without running
+	FaultError    Fault = "error"     // 502 without running
+	FaultErrorRun Fault = "error-run" // runs and answers 504
+)
+
+// Faults lists all faults.
+var Faults = []Fault{
+	FaultRefuse, FaultDrop, FaultCut, FaultHeader, FaultShort, FaultLong, FaultNoEnd, FaultTwice,
+	FaultForever, FaultLate, FaultSilent, FaultLeave, FaultError, FaultErrorRun,
+}
+
+// Runs reports whether the request runs in spite of the fault.
+func (f Fault) Runs() bool {
+	switch f {
+	case FaultRefuse, FaultLeave, FaultError:
+		return false
+	}
+	return true
+}
+
+const lateness = 2 * time.Second
+
+// answerWrong writes what the fault makes of the answer.
+func (e *Endpoint) answerWrong(w http.ResponseWriter, fault Fault, header http.Header, body []byte) {
+	switch fault {
+	case FaultLeave:
+		w.Header().Set("Connection", "close")
+		http.Error(w, "leaving", http.StatusServiceUnavailable)
+		return
+	case FaultError:
+		http.Error(w, "error", http.StatusBadGateway)
+		return
+	case FaultErrorRun:
+		http.Error(w, "error", http.StatusGatewayTimeout)
+		return
+	}
+	conn, buffer, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer conn.Close()
+	buffer.Flush()
+	e.writeRaw(conn, fault, header, body)
+}
+
+func (e *Endpoint) writeRaw(conn net.Conn, fault Fault, header http.Header, body []byte) {
+	var head bytes.Buffer
+	head.WriteString("HTTP/1.1 200 OK\r\n")
+	header.Write(&head)
+	length := func(n int) string { return "Content-Length: " + strconv.Itoa(n) + "\r\n\r\n" }
+	half := body[:len(body)/2]
+	switch fault {
+	case FaultCut:
+		fmt.Fprint(conn, head.String(), length(len(body)), string(half))
+	case FaultHeader:
+		fmt.Fprint(conn, head.String(), "Content-Le")
+	case FaultShort:
+		fmt.Fprint(conn, head.String(), length(len(body)), string(half))
+		e.waitGone(conn)
+	case FaultLong:
+		fmt.Fprint(conn, head.String(), length(len(half)), string(body))
+		e.waitGone(conn)
+	case FaultNoEnd:
+		fmt.Fprint(conn, head.String(), "Connection: close\r\n\r\n", string(half))
+	case FaultTwice:
+		whole := head.String() + length(len(body)) + string(body)
+		fmt.Fprint(conn, whole+whole)
+		e.waitGone(conn)
+	case FaultForever:
+		fmt.Fprint(conn, head.String(), "Transfer-Encoding: chunked\r\n\r\n")
+		e.writeForever(conn, body)
+	case FaultSilent:
+		e.waitGone(conn)
+	}
+}
+
+func (e *Endpoint) writeForever(conn net.Conn, body []byte) {
+	piece := fmt.Sprintf("%x\r\n%s\r\n", len(body), body)
+	for {
+		if _, err := fmt.Fprint(conn, piece); err != nil {
+			return
+		}
+		if !e.pause(10 * time.Millisecond) {
+			return
+		}
+	}
+}
+
+// waitGone waits until the peer closes the connection or the endpoint ends.
+func (e *Endpoint) waitGone(conn net.Conn) {
+	stop := make(chan struct{})
+	go func() {
+		defer close(stop)
+		var b [256]byte
+		for {
+			if _, err := conn.Read(b[:]); err != nil {
+				return
+			}
+		}
+	}()
+	select {
+	case <-stop:
+	case <-e.current.Load().done:
+		conn.Close()
+		<-stop
+	}
+}
