Add owners of racks and of queues, thin

Cause: no package placed tasks yet. Package rack holds the commitments, leases and quarantine of one rack under one term; package queue interprets a team's stream and orders its tasks; the packages owner run them over net/rpc.

--- /dev/null
+++ b/queue/client.go
@@ -0,0 +1,111 @@
+package queue
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/rpc"
+
+	"github.com/peridotlock/peridotlock/fleet"
+	"github.com/peridotlock/peridotlock/job"
+	"github.com/peridotlock/peridotlock/ownership"
+	"github.com/peridotlock/peridotlock/wire"
+)
+
+// ErrNotDone says that the call certainly changed nothing.
+var ErrNotDone = errors.New("nothing was done")
+
+// ErrOutcomeUnknown says that the call may or may not have taken effect.
+var ErrOutcomeUnknown = errors.New("outcome unknown")
+
+// ErrInvalid says that the call can never succeed; it wraps ErrNotDone.
+var ErrInvalid = fmt.Errorf("%w: invalid", ErrNotDone)
+
+// ErrUnknownJob says that the queue has no such job; it wraps ErrNotDone.
+var ErrUnknownJob = fmt.Errorf("%w: unknown job", ErrNotDone)
+
+// Client forwards calls to the owner of the queue that they are about. Each
+// error wraps ErrNotDone or ErrOutcomeUnknown.
+type Client struct {
+	directory ownership.Directory
+	pool      *wire.Pool
+}
+
+// NewClient returns a client.
+func NewClient(d ownership.Directory, p *wire.Pool) *Client { return &Client{directory: d, pool: p} }
+
+// Submit submits a job; repeated says that its idempotency key had been used.
+func (c *Client) Submit(ctx context.Context, s job.Spec) (st job.Status, repeated bool, err error) {
+	var r SubmitReply
+	if err := c.call(ctx, s.Team, "Submit", SubmitArgs{Spec: s}, &r); err != nil {
+		return job.Status{}, false, err
+	}
+	return r.Job, r.Repeated, codeError(r.Code, r.Detail)
+}
+
+// Cancel ends a job.
+func (c *Client) Cancel(ctx context.Context, id, reason string) (job.Status, error) {
+	return c.callJob(ctx, "Cancel", JobArgs{ID: id, Reason: reason})
+}
+
+// Show returns a job with its tasks.
+func (c *Client) Show(ctx context.Context, id string) (job.Status, error) {
+	return c.callJob(ctx, "Show", JobArgs{ID: id})
+}
+
+// Explain returns a job with its tasks, each with why it waits or where it
+// went.
+func (c *Client) Explain(ctx context.Context, id string) (job.Status, error) {
+	return c.callJob(ctx, "Explain", JobArgs{ID: id})
+}
+
+// List returns the newest jobs of a queue without tasks.
+func (c *Client) List(ctx context.Context, queue fleet.Path, limit int) ([]job.Status, error) {
+	var r ListReply
+	if err := c.call(ctx, queue, "List", ListArgs{Queue: queue, Limit: limit}, &r); err != nil {
+		return nil, err
+	}
+	return r.Jobs, codeError(r.Code, "")
+}
+
+func (c *Client) callJob(ctx context.Context, method string, args JobArgs) (job.Status, error) {
+	team, _, ok := ParseJobID(args.ID)
+	if !ok {
+		return job.Status{}, fmt.Errorf("%w: %q", ErrUnknownJob, args.ID)
+	}
+	var r JobReply
+	if err := c.call(ctx, team, method, args, &r); err != nil {
+		return job.Status{}, err
+	}
+	return r.Job, codeError(r.Code, r.Detail)
+}
+
+func (c *Client) call(ctx context.Context, queue fleet.Path, method string, args, reply any) error {
+	_, addr, ok := c.directory.Owner(ownership.Unit{Kind: ownership.Queue, Path: queue})
+	if !ok {
+		return fmt.Errorf("%w: queue %s has no owner", ErrNotDone, queue)
+	}
+	err := c.pool.Client(addr).Call(ctx, ServiceName+"."+method, args, reply)
+	var served rpc.ServerError
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, wire.ErrNotSent), errors.As(err, &served):
+		return fmt.Errorf("%w: %w", ErrNotDone, err)
+	}
+	return fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
+}
+
+func codeError(code Code, detail string) error {
+	switch code {
+	case OK:
+		return nil
+	case InDoubt:
+		return fmt.Errorf("%w: %s", ErrOutcomeUnknown, detail)
+	case Invalid:
+		return fmt.Errorf("%w: %s", ErrInvalid, detail)
+	case UnknownJob:
+		return fmt.Errorf("%w: %s", ErrUnknownJob, detail)
+	}
+	return fmt.Errorf("%w: %s %s", ErrNotDone, code, detail)
+}
--- /dev/null
+++ b/queue/owner/calls.go
@@ -0,0 +1,167 @@
+package owner
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/peridotlock/peridotlock/job"
+	"github.com/peridotlock/peridotlock/queue"
+	"github.com/peridotlock/peridotlock/rack"
+	"github.com/peridotlock/peridotlock/stream"
+)
+
+// submit records a job. A job that no worker could hold is rejected at once.
+func (o *Owner) submit(ctx context.Context, s job.Spec) queue.SubmitReply {
+	if err := queue.Check(s); err != nil {
+		return queue.SubmitReply{Code: queue.Invalid, Detail: err.Error()}
+	}
+	if s.IdempotencyKey == "" {
+		s.IdempotencyKey = rand.Text()
+	} else if st, ok := o.byKey(s.IdempotencyKey); ok {
+		return queue.SubmitReply{Job: st, Repeated: true}
+	}
+	urgency := stream.Normal
+	if s.Urgent {
+		urgency = stream.Urgent
+	}
+	if err := o.record(ctx, urgency, queue.Record{Kind: queue.Submitted, Spec: &s}); err != nil {
+		return queue.SubmitReply{Code: codeOf(err), Detail: err.Error()}
+	}
+	st, _ := o.byKey(s.IdempotencyKey)
+	o.opts.Log.V(1).Info("job submitted", "queue", o.path, "job", st.ID, "count", s.Count)
+	if short, unfit := queue.Unfit(o.opts.VMs(), s); unfit {
+		st = o.reject(ctx, st, short)
+	}
+	o.nudge()
+	return queue.SubmitReply{Job: st}
+}
+
+func (o *Owner) reject(ctx context.Context, st job.Status, short queue.Shortfall) job.Status {
+	_, number, _ := queue.ParseJobID(st.ID)
+	r := queue.Record{Kind: queue.Unschedulable, Job: number, Reason: short.String()}
+	if err := o.record(ctx, stream.Normal, r); err != nil {
+		o.opts.Log.Info("unschedulable job not recorded", "job", st.ID, "error", err.Error())
+	}
+	return o.show(number, "").Job
+}
+
+func (o *Owner) byKey(key string) (job.Status, bool) {
+	var out job.Status
+	found := false
+	o.replica.Read(func() {
+		if j := o.machine.ByKey(key); j != nil {
+			out = o.machine.Status(j, true)
+			found = true
+		}
+	})
+	return out, found
+}
+
+func (o *Owner) cancel(number uint64, reason string) queue.JobReply {
+	reply := o.show(number, "")
+	if reply.Code != queue.OK || reply.Job.State.IsFinal() {
+		return reply
+	}
+	err := o.record(context.Background(), stream.Normal, queue.Record{Kind: queue.Cancelled, Job: number, Reason: reason})
+	if err != nil {
+		return queue.JobReply{Code: codeOf(err), Detail: err.Error()}
+	}
+	o.nudge()
+	return o.show(number, "")
+}
+
+func (o *Owner) show(number uint64, _ string) queue.JobReply {
+	reply := queue.JobReply{Code: queue.UnknownJob}
+	o.replica.Read(func() {
+		if j := o.machine.Job(number); j != nil {
+			reply = queue.JobReply{Job: o.machine.Status(j, true)}
+		}
+	})
+	return reply
+}
+
+// explainJob returns the job with why each task waits or where it went.
+func (o *Owner) explainJob(number uint64, _ string) queue.JobReply {
+	reply := o.show(number, "")
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for i := range reply.Job.Tasks {
+		t := &reply.Job.Tasks[i]
+		t.Explain = o.explainTask(queue.TaskRef{Job: number, Index: i}, t)
+	}
+	return reply
+}
+
+func (o *Owner) explainTask(ref queue.TaskRef, t *job.TaskStatus) []string {
+	switch {
+	case t.State.IsFinal() && t.Reason != "":
+		return []string{t.Reason}
+	case t.State.IsFinal():
+		return []string{fmt.Sprintf("%s on VM %s, attempt %d", t.State, t.VM, t.Attempt)}
+	case t.State == job.Running:
+		return []string{fmt.Sprintf("runs on VM %s, attempt %d", t.VM, t.Attempt)}
+	case t.State == job.Placed:
+		return []string{fmt.Sprintf("placed on VM %s, attempt %d, start not confirmed", t.VM, t.Attempt)}
+	}
+	var out []string
+	if since, down := o.appender.downSince(); down {
+		out = append(out, queue.Reason{Code: queue.WaitsLog, Detail: "since " + since.UTC().Format(time.RFC3339)}.Lines()...)
+	}
+	if _, _, ok := o.policy(); !ok {
+		out = append(out, queue.Reason{Code: queue.WaitsSettings}.Lines()...)
+	}
+	if r, ok := o.reasons[ref]; ok {
+		out = append(out, r.Lines()...)
+	}
+	if t.Reason != "" {
+		out = append(out, "last attempt: "+t.Reason)
+	}
+	return out
+}
+
+func (o *Owner) list(limit int) []job.Status {
+	var out []job.Status
+	o.replica.Read(func() {
+		for _, j := range slices.Backward(o.machine.Jobs()) {
+			if limit > 0 && len(out) >= limit {
+				return
+			}
+			out = append(out, o.machine.Status(j, false))
+		}
+	})
+	return out
+}
+
+// events records what rack owners report. OK is answered only when nothing of
+// it can be lost any more.
+func (o *Owner) events(ctx context.Context, events []rack.Event) queue.Code {
+	_, policy, _ := o.policy()
+	var records []queue.Record
+	current := false
+	o.mu.Lock()
+	o.replica.Read(func() {
+		current = o.machine.Term() == o.term
+		for _, e := range events {
+			r, ok := o.machine.RecordOf(e, policy)
+			if !ok {
+				continue
+			}
+			records = append(records, r)
+			if j := o.machine.Job(r.Job); r.Kind == queue.Finished && j != nil {
+				o.history.Observe(j.Spec, e.Used, e.RunTime)
+			}
+		}
+	})
+	o.mu.Unlock()
+	if !current {
+		return queue.NotOwner
+	}
+	code := codeOf(o.record(ctx, stream.Normal, records...))
+	if code == queue.OK && len(records) > 0 {
+		o.nudge()
+	}
+	return code
+}
