Relieve latency-critical tasks through interference.Controller

Cause: rack had its own hysteresis beside that of package interference. Change: one controller for each latency-critical attempt; measurements feed the learned model only when the worker's tasks did not change since.

--- a/queue/machine.go
+++ b/queue/machine.go
@@ -43,14 +43,14 @@
 
 // Job is the recorded state of one job.
 type Job struct {
-	Number    uint64    `cbor:"1,keyasint"`
-	Spec      job.Spec  `cbor:"2,keyasint"`
-	Submitted int64     `cbor:"3,keyasint"` // platform's clock, Unix milliseconds
-	Ended     int64     `cbor:"4,keyasint"` // the same; 0 while open
-	Tasks     []Task    `cbor:"5,keyasint"`
-	FailedOn  []string  `cbor:"6,keyasint,omitempty"` // VMs on which a task failed
-	Successes int       `cbor:"7,keyasint,omitempty"`
-	open      int       // tasks that are not final
+	Number    uint64   `cbor:"1,keyasint"`
+	Spec      job.Spec `cbor:"2,keyasint"`
+	Submitted int64    `cbor:"3,keyasint"` // platform's clock, Unix milliseconds
+	Ended     int64    `cbor:"4,keyasint"` // the same; 0 while open
+	Tasks     []Task   `cbor:"5,keyasint"`
+	FailedOn  []string `cbor:"6,keyasint,omitempty"` // VMs on which a task failed
+	Successes int      `cbor:"7,keyasint,omitempty"`
+	open      int      // tasks that are not final
 }
 
 // Machine interprets the stream of one team's queue. It implements
--- a/rack/admit.go
+++ b/rack/admit.go
@@ -180,6 +180,7 @@
 	if a.phase == starting && status.State == platform.AttemptRunning {
 		// The caller of Start learns it from the reply.
 		a.phase = running
+		w.changed = now
 	}
 	s.apply(w, ref, status, now, withDrift(c.policy(s.path).Tasks.Lease), c)
 }
--- a/rack/balance.go
+++ b/rack/balance.go
@@ -4,24 +4,15 @@
 	"time"
 
 	"github.com/peridotlock/peridotlock/fleet"
-	"github.com/peridotlock/peridotlock/settings"
+	"github.com/peridotlock/peridotlock/interference"
+	"github.com/peridotlock/peridotlock/platform"
 )
 
 const (
-	highSlowdown  = 1.4              // of a latency-critical task, above which the worker is relieved
-	lowSlowdown   = 1.15             // below which a throttled task gets its share back
-	reliefHold    = 5 * time.Second  // least time between two steps of relief
-	restoreHold   = 20 * time.Second // least time between two steps back
-	minShare      = 0.25
-	throttleStep  = 0.5
-	evictionPrice = 0.5 // added slowdown that an eviction is worth at equal weights
+	throttledShare = 0.5                    // of a batch task that slows latency-critical ones
+	sameMeasure    = 100 * time.Millisecond // measurements closer than this are one
 )
 
-// pressure is the state of the relief of one worker.
-type pressure struct {
-	stepped time.Time // last step of relief or back
-}
-
 // wanted returns the share that the attempt shall have.
 func (a *attempt) wanted() float64 {
 	if a.target == 0 {
@@ -30,65 +21,47 @@
 	return a.target
 }
 
-// balance relieves the latency-critical tasks of a worker: it throttles the
-// batch task that slows them most, and evicts it when throttling was not
-// enough. The gap between the limits and the holding times give hysteresis.
+// balance relieves the latency-critical tasks of a worker as their controllers
+// decide: it throttles the batch task that slows them most, and moves it when
+// that was not enough.
 func (s *State) balance(w *worker, now time.Time, c Conditions) {
-	worst, victim := w.worstSlowdown()
-	since := now.Sub(w.pressure.stepped)
 	weights := c.policy(s.path).Weights
-	switch {
-	case worst > highSlowdown && since >= reliefHold:
-		if s.relieve(w, victim, worst, weights) {
-			w.pressure.stepped = now
+	for _, ref := range w.refs() {
+		victim := w.attempts[ref]
+		if victim.phase != running || victim.request.Class != fleet.LatencyCritical || victim.slowdown == 0 {
+			continue
 		}
-	case worst < lowSlowdown && since >= restoreHold:
-		if w.restore() {
-			w.pressure.stepped = now
+		switch victim.control.Decide(now, victim.slowdown, weights) {
+		case interference.Throttle:
+			if n := s.worstNeighbour(w, victim); n != nil {
+				n.target = throttledShare
+			}
+		case interference.Move:
+			s.moveNeighbour(w, victim)
+		case interference.Release:
+			w.release()
 		}
 	}
 }
 
-func (w *worker) worstSlowdown() (float64, *attempt) {
-	worst := 1.0
-	var victim *attempt
-	for _, ref := range w.refs() {
-		a := w.attempts[ref]
-		if a.phase == running && a.request.Class == fleet.LatencyCritical && a.slowdown > worst {
-			worst = a.slowdown
-			victim = a
-		}
+func (s *State) moveNeighbour(w *worker, victim *attempt) {
+	n := s.worstNeighbour(w, victim)
+	if n == nil || s.moveTokens < 1 {
+		return
 	}
-	return worst, victim
+	s.moveTokens--
+	n.goal = Evict
+	n.why = "slows latency-critical tasks although throttled"
 }
 
-// relieve throttles the worst neighbour of the victim by a step, or evicts it
-// when it has the least share and the weights favour that.
-func (s *State) relieve(w *worker, victim *attempt, worst float64, weights settings.Weights) bool {
-	neighbour := s.worstNeighbour(w, victim)
-	if neighbour == nil {
-		return false
-	}
-	gain := weights.TailLatency * (worst - 1)
-	if neighbour.wanted() > minShare {
-		cost := weights.Throughput * neighbour.wanted() * throttleStep
-		if gain <= cost {
-			return false
-		}
-		neighbour.target = max(minShare, neighbour.wanted()*throttleStep)
-		return true
+// release gives all attempts their whole share back.
+func (w *worker) release() {
+	for _, a := range w.attempts {
+		a.target = 1
 	}
-	if gain <= weights.Evictions*evictionPrice || s.moveTokens < 1 {
-		return false
-	}
-	s.moveTokens--
-	neighbour.goal = Evict
-	neighbour.why = "slows latency-critical tasks although throttled"
-	return true
 }
 
-// worstNeighbour returns the batch attempt that slows the victim most, scaled
-// by the share that it still has.
+// worstNeighbour returns the batch attempt that slows the victim most.
 func (s *State) worstNeighbour(w *worker, victim *attempt) *attempt {
 	var out *attempt
 	worst := 0.0
@@ -97,8 +70,8 @@
 		if a.phase != running || a.goal != None || a.request.Class == fleet.LatencyCritical {
 			continue
 		}
-		harm := s.model.Slowdown(victim.request.Kind, a.request.Kind) * a.wanted()
-		if harm > worst {
+		harm := s.model.Slowdown(victim.request.Kind, a.request.Kind) - 1
+		if out == nil || harm > worst {
 			worst = harm
 			out = a
 		}
@@ -106,18 +79,48 @@
 	return out
 }
 
-// restore gives the most throttled attempt a step back.
-func (w *worker) restore() bool {
-	var out *attempt
+// Observation is one measured slowdown with the neighbours that caused it.
+type Observation struct {
+	Victim     string
+	Neighbours []string
+	Slowdown   float64
+}
+
+// Observations returns the measurements in a report that the newest renewal
+// brought for the first time. A measurement from before the last change of the
+// worker's tasks, or of a task beside throttled ones, is left out.
+func (s *State) Observations(vm string, now time.Time, usage []platform.Usage) []Observation {
+	w, ok := s.workers[vm]
+	if !ok {
+		return nil
+	}
+	var out []Observation
+	for _, u := range usage {
+		ref := platform.AttemptRef{Task: u.Task, Attempt: u.Attempt}
+		a, ok := w.attempts[ref]
+		measured := now.Add(-u.Age)
+		if !ok || a.phase != running || !measured.After(w.changed) || measured.Sub(a.measured) < sameMeasure {
+			continue
+		}
+		a.measured = measured
+		if kinds, whole := w.neighbours(ref); whole {
+			out = append(out, Observation{Victim: a.request.Kind, Neighbours: kinds, Slowdown: u.Slowdown})
+		}
+	}
+	return out
+}
+
+// neighbours returns the kinds beside an attempt; whole is false when one of
+// them is throttled.
+func (w *worker) neighbours(self platform.AttemptRef) (kinds []string, whole bool) {
+	whole = true
 	for _, ref := range w.refs() {
 		a := w.attempts[ref]
-		if a.phase == running && a.wanted() < 1 && (out == nil || a.wanted() < out.wanted()) {
-			out = a
+		if ref == self || a.phase != running {
+			continue
 		}
+		kinds = append(kinds, a.request.Kind)
+		whole = whole && a.share == 1
 	}
-	if out == nil {
-		return false
-	}
-	out.target = min(1, out.wanted()/throttleStep)
-	return true
+	return kinds, whole
 }
--- a/rack/event.go
+++ b/rack/event.go
@@ -75,6 +75,7 @@
 func (s *State) end(w *worker, ref platform.AttemptRef, a *attempt, o Outcome, reason string, now time.Time, c Conditions) {
 	s.emit(w, ref, a, o, reason, now)
 	a.phase = ended
+	w.changed = now
 	switch {
 	case o == Finished:
 		w.health.succeeded()
--- a/rack/lease.go
+++ b/rack/lease.go
@@ -82,6 +82,7 @@
 	a, ok := w.attempts[ref]
 	if !ok {
 		a = adopted(status, now, lease)
+		w.changed = now
 		w.attempts[ref] = a
 	}
 	if a.phase == ended || a.phase == settled {
@@ -93,6 +94,7 @@
 	if status.State == platform.AttemptRunning {
 		if a.phase == starting {
 			a.phase = running
+			w.changed = now
 			a.leaseEnd = now.Add(lease)
 			s.emit(w, ref, a, Started, "", now)
 		}
--- a/rack/owner/calls.go
+++ b/rack/owner/calls.go
@@ -50,10 +50,10 @@
 	}
 	o.with(func(s *rack.State, now time.Time, c rack.Conditions) {
 		s.Renewed(vm.ID, sent, now, request, report, c)
+		for _, seen := range s.Observations(vm.ID, now, report.Usage) {
+			o.opts.Model.Observe(seen.Victim, seen.Neighbours, seen.Slowdown)
+		}
 	})
-	if o.opts.Observe != nil {
-		o.opts.Observe(vm.ID, report)
-	}
 	return len(request.Attempts) == 0 && len(report.Attempts) > 0
 }
 
--- a/rack/owner/owner.go
+++ b/rack/owner/owner.go
@@ -32,8 +32,7 @@
 	ClaimAge  func() time.Duration                   // since the claims were last known to be current
 	Directory ownership.Directory
 	Pool      *wire.Pool
-	Model     interference.Model
-	Observe   func(vm string, r platform.Report) // sees each report; may be nil
+	Model     *interference.Learned
 	Log       logr.Logger
 }
 
--- a/rack/worker.go
+++ b/rack/worker.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/peridotlock/peridotlock/fleet"
+	"github.com/peridotlock/peridotlock/interference"
 	"github.com/peridotlock/peridotlock/place"
 	"github.com/peridotlock/peridotlock/platform"
 	"github.com/peridotlock/peridotlock/settings"
@@ -27,7 +28,7 @@
 	unanswered int
 	attempts   map[platform.AttemptRef]*attempt
 	health     health
-	pressure   pressure
+	changed    time.Time // when the set of running attempts last changed
 }
 
 func newWorker() *worker {
@@ -64,6 +65,8 @@
 	checkpoint  string    // newest known
 	used        fleet.Resources
 	slowdown    float64
+	measured    time.Time // of the newest measurement
+	control     interference.Controller
 	share       float64 // applied by the worker after throttling
 	target      float64 // wanted share; 0 for the whole
 	blameless   bool    // its job failed on other workers, so this one is not blamed
