Name the hosts of a service

Cause: routes of two former fleets with the same prefixes could not be told apart, since nothing in a request named its service. Ruled out: a prefix for each organisation, which would rename paths that callers use today. Change: settings.Service.Hosts, compared with the Host header as text.

--- a/settings/view.go
+++ b/settings/view.go
@@ -28,9 +28,12 @@
 	Out    bool
 }
 
-// Service is a set of endpoints behind common routes.
+// Service is a set of endpoints behind common routes. Hosts are compared with
+// the Host header of a request as text, without the port, and never resolved;
+// a service without hosts serves requests whose host no service names.
 type Service struct {
 	Path   fleet.Path
+	Hosts  []string
 	Routes []Route
 }
 
