Let a service name its hosts and refuse two with the same route

Cause: routes of two services with the same prefix had no rule for which one serves a request, and the merged fleets share names. Conclusion: all example trees pass the check.

--- a/settings/check.go
+++ b/settings/check.go
@@ -6,14 +6,18 @@
 	"strings"
 
 	"github.com/peridotlock/peridotlock/finding"
+	"github.com/peridotlock/peridotlock/fleet"
 )
 
 // checker holds a composed tree against the rules that span branches.
-type checker struct{ found finding.List }
+type checker struct {
+	found  finding.List
+	routed map[hostRoute]fleet.Path // service that has the route
+}
 
 // checkTree returns what is wrong with the tree as a whole.
 func checkTree(root *branch) finding.List {
-	c := &checker{}
+	c := &checker{routed: map[hostRoute]fleet.Path{}}
 	c.branch(root, kindRoot, scope{})
 	return c.found
 }
@@ -32,6 +36,9 @@
 	c.removals(b, inherited)
 	s := inherited.below(b)
 	c.combined(b, s)
+	if kind == KindService {
+		c.service(b, s)
+	}
 	if kind == KindNone {
 		kind = above
 	}
@@ -68,6 +75,9 @@
 	if f, ok := fields[key]; ok {
 		return f.on
 	}
+	if key == keyHosts {
+		return onServiceOnly
+	}
 	if strings.HasPrefix(key, routeKeyPrefix) {
 		return onService
 	}
--- a/settings/effective.go
+++ b/settings/effective.go
@@ -49,7 +49,7 @@
 		s = s.below(b)
 	}
 	all := maps.Clone(s)
-	for _, key := range []string{keyKind, keyOut} {
+	for _, key := range []string{keyKind, keyOut, keyHosts} {
 		if v, ok := b.own[key]; ok {
 			all[key] = source{value: v, branch: b.path}
 		}
--- a/settings/kind.go
+++ b/settings/kind.go
@@ -41,9 +41,10 @@
 
 // The sets of kinds on which a field may be set.
 var (
-	onAny     = []Kind{kindRoot, KindNone, KindOrganisation, KindRegion, KindFailureDomain, KindRack, KindService, KindTeam}
-	onRoot    = []Kind{kindRoot}
-	onService = []Kind{kindRoot, KindNone, KindOrganisation, KindService}
-	onTeam    = []Kind{kindRoot, KindNone, KindOrganisation, KindTeam}
-	onDomain  = []Kind{KindFailureDomain}
+	onAny         = []Kind{kindRoot, KindNone, KindOrganisation, KindRegion, KindFailureDomain, KindRack, KindService, KindTeam}
+	onRoot        = []Kind{kindRoot}
+	onService     = []Kind{kindRoot, KindNone, KindOrganisation, KindService}
+	onTeam        = []Kind{kindRoot, KindNone, KindOrganisation, KindTeam}
+	onServiceOnly = []Kind{KindService}
+	onDomain      = []Kind{KindFailureDomain}
 )
--- a/settings/read.go
+++ b/settings/read.go
@@ -89,6 +89,8 @@
 		r.group(b, key, v)
 	case key == keyRoutes:
 		r.routes(b, v)
+	case key == keyHosts:
+		r.hosts(b, v)
 	case key == keyRemove:
 		r.removals(b, v)
 	case key == keyBranches:
--- a/settings/resolve.go
+++ b/settings/resolve.go
@@ -107,7 +107,7 @@
 	case KindFailureDomain:
 		r.view.Domains = append(r.view.Domains, FailureDomain{Path: b.path, Region: r.region, Out: b.isOut()})
 	case KindService:
-		r.view.Services = append(r.view.Services, Service{Path: b.path, Routes: s.routes()})
+		r.view.Services = append(r.view.Services, Service{Path: b.path, Hosts: b.hosts(), Routes: s.routes()})
 	case KindTeam:
 		r.view.Teams = append(r.view.Teams, Team{Path: b.path, Quota: v.quota, Weight: v.weight})
 	}
--- a/settings/schema.go
+++ b/settings/schema.go
@@ -10,6 +10,7 @@
 	keyKind     = "kind"
 	keyOut      = "out"
 	keyRoutes   = "routes"
+	keyHosts    = "hosts"
 	keyRemove   = "remove"
 	keyBranches = "branches"
 )
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"fmt"
 	"os"
 	"strings"
 	"testing"
@@ -117,6 +118,12 @@
 			`bad.yaml:17:7: zavod: branches: name "desk" stands twice`,
 		})
 	})
+	Convey("Two services with the same route need distinct hosts", t, func() {
+		const both = `{routes: [{prefix: /, class: watch}], branches: {a: {kind: service, hosts: [x.example, y.example]}, b: {kind: service, hosts: [%s]}}}`
+		So(Check("f", fmt.Appendf(nil, both, "z.example")).Err(), ShouldBeNil)
+		So(Check("f", fmt.Appendf(nil, both, "y.example")).Error(), ShouldContainSubstring, `b: routes: * / with host y.example belongs to service "a" already`)
+		So(Check("f", fmt.Appendf(nil, both, "Z:80")).Error(), ShouldContainSubstring, `"Z:80" is not a name`)
+	})
 	Convey("Aliases and several documents are refused", t, func() {
 		So(Check("f", []byte("a: &x {}\nb: *x\n")).Error(), ShouldContainSubstring, "aliases are not allowed")
 		So(Check("f", []byte("{}\n---\n{}\n")).Error(), ShouldContainSubstring, "more than one YAML document")
@@ -126,7 +133,7 @@
 
 func TestExamplesAreClean(t *testing.T) {
 	Convey("Every example tree passes the check", t, func() {
-		for _, name := range []string{"frula-registry", "flooring-order-desk", "merged"} {
+		for _, name := range []string{"demo", "frula-registry", "flooring-order-desk", "merged"} {
 			file := "../examples/" + name + ".yaml"
 			data, err := os.ReadFile(file)
 			So(err, ShouldBeNil)
