--- a/settings/compose.go
+++ b/settings/compose.go
@@ -109,6 +109,20 @@
 	})
 }
 
+// keepMarks gives the failure domains of former contents the marks that they
+// have in the present tree.
+func (c contents) keepMarks(present *branch) {
+	c.compose().walk(func(b *branch) {
+		now := present.find(b.path)
+		if b.kind() != KindFailureDomain || now == nil || now.kind() != KindFailureDomain {
+			return
+		}
+		if now.isOut() != b.isOut() {
+			c.marks[b.path] = mark{Branch: b.path, Out: now.isOut(), Revision: now.place(keyOut).revision}
+		}
+	})
+}
+
 // size returns the bytes of all documents.
 func (c contents) size() int {
 	n := 0
--- a/settings/history.go
+++ b/settings/history.go
@@ -69,7 +69,8 @@
 	return out
 }
 
-// undo returns the contents as of the revision, with the present marks.
+// undo returns the contents as of the revision, without the marks of failure
+// domains that were not there. The given contents are not changed.
 func (h *history) undo(c contents, revision platform.Offset) (contents, error) {
 	if revision < h.trimmed {
 		return contents{}, fmt.Errorf("revision %d is older than %d, the oldest that is kept", revision, h.trimmed)
--- a/settings/proposal.go
+++ b/settings/proposal.go
@@ -82,7 +82,8 @@
 
 // Document returns the text of the branch at path as of the revision; use the
 // newest one seen for the present. The text is that of the operator's file
-// when nothing below was edited separately.
+// when nothing below was edited separately. Failure domains that exist now are
+// out in it when they are out now.
 func (m *Machine) Document(path fleet.Path, revision platform.Offset) (Document, error) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
@@ -97,12 +98,13 @@
 }
 
 func (m *Machine) documentAt(path fleet.Path, revision platform.Offset) (Document, error) {
+	if revision > m.seen {
+		return Document{}, fmt.Errorf("revision %d is not known yet", revision)
+	}
 	c, err := m.history.undo(m.contents, revision)
 	if err != nil {
 		return Document{}, err
 	}
-	if revision > m.seen {
-		return Document{}, fmt.Errorf("revision %d is not known yet", revision)
-	}
+	c.keepMarks(m.root)
 	return c.render(path)
 }
--- a/settings/revisions.go
+++ b/settings/revisions.go
@@ -29,14 +29,16 @@
 }
 
 // facts returns the text of everything that the branch says, and of nothing
-// when there is no branch.
+// when there is no branch. A failure domain in service says nothing of it.
 func (b *branch) facts() map[string]string {
 	if b == nil {
 		return nil
 	}
 	out := make(map[string]string, len(b.own)+len(b.children))
 	for key, v := range b.own {
-		out[key] = v.text
+		if key != keyOut || b.isOut() {
+			out[key] = v.text
+		}
 	}
 	for name := range b.children {
 		out[childKeyPrefix+name] = name
