--- /dev/null
+++ b/standin/caller/caller_test.go
@@ -0,0 +1,128 @@
+package caller
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/peridotlock/peridotlock/fleet"
+	"github.com/peridotlock/peridotlock/standin/executor"
+	"github.com/peridotlock/peridotlock/standin/fault"
+	"github.com/peridotlock/peridotlock/standin/ledger"
+)
+
+// proxy is an entry of the test; what it does to a request is up to a test.
+type proxy func(w http.ResponseWriter, r *http.Request, executor string)
+
+// forward sends a request on under the id given and copies the answer.
+func forward(w io.Writer, r *http.Request, addr, id string) {
+	req, _ := http.NewRequest(r.Method, "http://"+addr+r.URL.String(), strings.NewReader("body of "+id))
+	req.Header.Set(executor.HeaderRequestID, id)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer resp.Body.Close()
+	io.Copy(w, resp.Body)
+}
+
+// callThrough sends one request of a class through an entry and returns what
+// the callers make of it.
+func callThrough(t *testing.T, class fleet.RequestClass, p proxy) Summary {
+	l := ledger.New()
+	endpoint := httptest.NewServer(executor.New(executor.Options{ID: "e", Slots: 8}, fault.NewBoard(), l))
+	defer endpoint.Close()
+	entry := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		p(w, r, endpoint.Listener.Addr().String())
+	}))
+	defer entry.Close()
+	c := New(Options{
+		Name: "t", Rate: 1000, Deadline: 50 * time.Millisecond,
+		Entries: []Entry{{Address: entry.Listener.Addr().String()}},
+		Shapes:  []Shape{{Class: class, Method: "POST", Path: "/p", Weight: 1, Bytes: 2000}},
+	})
+	c.exchange(t.Context(), "t-0", c.opts.Shapes[0])
+	return c.Summary(l.ExecutionCounts())
+}
+
+func TestCallersDetectWrongEntries(t *testing.T) {
+	own := func(r *http.Request) string { return r.Header.Get(executor.HeaderRequestID) }
+	Convey("Callers", t, func() {
+		Convey("find a true entry sound", func() {
+			s := callThrough(t, fleet.NonIdempotent, func(w http.ResponseWriter, r *http.Request, addr string) {
+				forward(w, r, addr, own(r))
+			})
+			So(s.IsSound(), ShouldBeTrue)
+			So(s.Outcomes[Answered], ShouldEqual, 1)
+		})
+		Convey("find a request that was executed twice", func() {
+			double := func(w http.ResponseWriter, r *http.Request, addr string) {
+				forward(io.Discard, r, addr, own(r))
+				forward(w, r, addr, own(r))
+			}
+			So(callThrough(t, fleet.NonIdempotent, double).Doubled, ShouldEqual, 1)
+			So(callThrough(t, fleet.Idempotent, double).IsSound(), ShouldBeTrue)
+		})
+		Convey("find a refusal that is not true", func() {
+			lie := func(w http.ResponseWriter, r *http.Request, addr string) {
+				forward(io.Discard, r, addr, own(r))
+				w.Header().Set(outcomeHeader, notRun)
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}
+			So(callThrough(t, fleet.Idempotent, lie).Misreported, ShouldEqual, 1)
+		})
+		Convey("find the answer to another request, a cut one and an invented one", func() {
+			swap := func(w http.ResponseWriter, r *http.Request, addr string) {
+				forward(io.Discard, r, addr, own(r))
+				forward(w, r, addr, "other")
+			}
+			cut := func(w http.ResponseWriter, r *http.Request, addr string) {
+				var whole strings.Builder
+				forward(&whole, r, addr, own(r))
+				io.WriteString(w, whole.String()[:whole.Len()/2])
+			}
+			invent := func(w http.ResponseWriter, r *http.Request, _ string) {
+				w.Write(executor.Answer(own(r), r.Method, r.URL.Path, executor.Hash([]byte("body of "+own(r))), 2000))
+			}
+			for _, wrong := range []proxy{swap, cut, invent} {
+				So(callThrough(t, fleet.Idempotent, wrong).Misreported, ShouldEqual, 1)
+			}
+		})
+		Convey("take an aborted answer for unknown, and silence for a loss", func() {
+			abort := func(w http.ResponseWriter, _ *http.Request, _ string) {
+				w.Header().Set("Content-Length", "2000")
+				io.WriteString(w, "request=")
+				panic(http.ErrAbortHandler)
+			}
+			So(callThrough(t, fleet.NonIdempotent, abort).Outcomes[Unknown], ShouldEqual, 1)
+			silent := func(_ http.ResponseWriter, r *http.Request, _ string) {
+				io.Copy(io.Discard, r.Body)
+				<-r.Context().Done()
+			}
+			So(callThrough(t, fleet.NonIdempotent, silent).Lost, ShouldEqual, 1)
+		})
+		Convey("go on to another entry while one can't be connected to", func() {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			So(err, ShouldBeNil)
+			gone := l.Addr().String()
+			l.Close()
+			live := httptest.NewServer(executor.New(executor.Options{ID: "e", Slots: 8}, fault.NewBoard(), ledger.New()))
+			defer live.Close()
+			c := New(Options{Entries: []Entry{{Address: gone}, {Address: live.Listener.Addr().String()}}, Deadline: time.Second})
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+			defer cancel()
+			for range 4 {
+				outcome, detail := c.try(ctx, "x", Shape{Class: fleet.Idempotent, Method: "GET", Path: "/p"})
+				So(detail, ShouldEqual, "")
+				So(outcome, ShouldEqual, Answered)
+			}
+		})
+	})
+}
