--- /dev/null
+++ b/demo/jobs.go
@@ -0,0 +1,172 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/peridotlock/peridotlock/fleet"
+	"github.com/peridotlock/peridotlock/standin/caller"
+	"github.com/peridotlock/peridotlock/standin/ledger"
+)
+
+// submitEvery is the time between two batches of jobs.
+const submitEvery = 2 * time.Second
+
+// The outcomes of attempts in the ledger.
+const (
+	finished = "finished"
+	stopped  = "stopped"
+)
+
+// batchJobs is a job file; %[1]d tells one batch from another.
+const batchJobs = `jobs:
+  - {name: certificates-%[1]d, team: zavod/certificates, kind: certificate-run, class: batch, count: 6, size: {milli-cpu: 1000, memory-mb: 1024}, run-time: 3s, idempotency-key: certificates-%[1]d}
+  - {name: appraisals-%[1]d, team: zavod/appraisals, kind: tuning-appraisal, class: batch, count: 2, size: {milli-cpu: 2000, memory-mb: 2048, accelerators: 1}, run-time: 2s, failure-domains: [zavod/kontinent], idempotency-key: appraisals-%[1]d}
+  - {name: release-%[1]d, team: authority/releases, kind: production-release, class: batch, count: 2, size: {milli-cpu: 1000, memory-mb: 1024}, run-time: 3s, urgent: true, deadline: 30s, idempotency-key: release-%[1]d}
+`
+
+// tasksOf is how many tasks the jobs of a batch have, by team.
+var tasksOf = []int{6, 2, 2}
+
+// shapes is the request mix of both services.
+func shapes() []caller.Shape {
+	return []caller.Shape{
+		{Class: fleet.Idempotent, Method: http.MethodGet, Path: "/registry/pipes", Weight: 40, Bytes: 2 << 10},
+		{Class: fleet.Idempotent, Method: http.MethodGet, Path: "/registry/pipes", Weight: 1, Bytes: 512 << 10},
+		{Class: fleet.NonIdempotent, Method: http.MethodPost, Path: "/registry/records", Weight: 12, Bytes: 512},
+		{Class: fleet.Watch, Method: http.MethodGet, Path: "/registry/watch", Weight: 1},
+		{Class: fleet.Idempotent, Method: http.MethodGet, Path: "/order-desk/quotes", Weight: 30, Bytes: 1 << 10},
+		{Class: fleet.NonIdempotent, Method: http.MethodPost, Path: "/order-desk/orders", Weight: 15, Bytes: 512},
+		{Class: fleet.Watch, Method: http.MethodGet, Path: "/order-desk/watch", Weight: 1},
+	}
+}
+
+// accepted is a job that was accepted.
+type accepted struct {
+	id    string
+	tasks int
+}
+
+// submitter submits a batch of jobs from time to time.
+type submitter struct {
+	ctl *operators
+	dir string
+
+	mu       sync.Mutex // protects the rest
+	accepted []accepted
+	failures []string
+}
+
+func newSubmitter(ctl *operators, dir string) *submitter { return &submitter{ctl: ctl, dir: dir} }
+
+func (s *submitter) run(ctx context.Context) {
+	ticker := time.NewTicker(submitEvery)
+	defer ticker.Stop()
+	for n := 1; ; n++ {
+		if err := s.submit(context.WithoutCancel(ctx), n); err != nil {
+			s.fail(err)
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (s *submitter) submit(ctx context.Context, n int) error {
+	file := filepath.Join(s.dir, fmt.Sprintf("jobs-%d.yaml", n))
+	if err := os.WriteFile(file, fmt.Appendf(nil, batchJobs, n), 0o600); err != nil {
+		return err
+	}
+	list, err := s.ctl.submit(ctx, fmt.Sprintf("batch-%d", n), file)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i, job := range list {
+		s.accepted = append(s.accepted, accepted{id: job.ID, tasks: tasksOf[i]})
+	}
+	return nil
+}
+
+func (s *submitter) fail(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failures = append(s.failures, err.Error())
+}
+
+// wait waits until every accepted task has finished, for at most limit.
+func (s *submitter) wait(ctx context.Context, l *ledger.Ledger, limit time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	ticker := time.NewTicker(submitEvery / 10)
+	defer ticker.Stop()
+	for len(s.unfinished(l)) > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// unfinished returns the accepted tasks that no worker has finished.
+func (s *submitter) unfinished(l *ledger.Ledger) []string {
+	done := make(map[string]bool)
+	for _, r := range l.Runs(ledger.Filter{}) {
+		done[r.Task] = done[r.Task] || r.Finished
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []string
+	for _, job := range s.accepted {
+		for i := range job.tasks {
+			if task := fmt.Sprintf("%s/%d", job.id, i); !done[task] {
+				out = append(out, task)
+			}
+		}
+	}
+	return out
+}
+
+// misreported returns the jobs that the operators are told to be otherwise
+// than their tasks are. A report may lag, so it has until limit to come true.
+func (s *submitter) misreported(ctx context.Context, l *ledger.Ledger, limit time.Duration) []string {
+	deadline := time.Now().Add(limit)
+	open := make(map[string]bool)
+	for _, task := range s.unfinished(l) {
+		open[task[:strings.LastIndexByte(task, '/')]] = true
+	}
+	var out []string
+	for _, job := range s.accepted {
+		detail := s.check(ctx, job.id, open[job.id])
+		for detail != "" && time.Now().Before(deadline) {
+			time.Sleep(submitEvery / 10)
+			detail = s.check(ctx, job.id, open[job.id])
+		}
+		if detail != "" {
+			out = append(out, detail)
+		}
+	}
+	return out
+}
+
+// check returns what is wrong with the state that operators are told of a job.
+func (s *submitter) check(ctx context.Context, id string, open bool) string {
+	state, err := s.ctl.show(ctx, id)
+	if err != nil {
+		return err.Error()
+	}
+	if (state.State == finished) == open {
+		return fmt.Sprintf("job %s is told to be %s, has unfinished tasks: %t", id, state.State, open)
+	}
+	return ""
+}
--- /dev/null
+++ b/demo/report.go
@@ -0,0 +1,152 @@
+package demo
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"text/tabwriter"
+	"time"
+
+	"github.com/peridotlock/peridotlock/standin/caller"
+	"github.com/peridotlock/peridotlock/standin/ledger"
+)
+
+const (
+	startAllowance = 5 * time.Second // after a take-out, until nothing starts there
+	reportLag      = 5 * time.Second // of the state of jobs
+	maxDetails     = 5               // faults told in words
+)
+
+// ErrUnsound says that something was lost, doubled or misreported.
+var ErrUnsound = errors.New("the run is not sound")
+
+// verdict counts what must not happen.
+type verdict struct {
+	requests   caller.Summary
+	ledger     ledger.Summary
+	unfinished []string
+	misreports []string
+	lateStarts []ledger.Run
+	failures   []string
+}
+
+// report prints the tables and returns ErrUnsound if anything went wrong.
+func (r *run) report(ctx context.Context) error {
+	l := r.cluster.platform.Ledger
+	counts := l.ExecutionCounts()
+	v := verdict{
+		requests:   r.callers.Summary(counts),
+		ledger:     l.Summary(),
+		unfinished: r.jobs.unfinished(l),
+		misreports: r.jobs.misreported(ctx, l, reportLag),
+		lateStarts: r.lateStarts(l),
+		failures:   r.jobs.failures,
+	}
+	fmt.Fprintln(r.opts.Out)
+	r.printPhases(l, counts)
+	fmt.Fprintln(r.opts.Out)
+	v.print(r)
+	if !v.isSound() {
+		v.printDetails(r)
+		return ErrUnsound
+	}
+	return nil
+}
+
+func (r *run) printPhases(l *ledger.Ledger, counts map[string]int) {
+	w := tabwriter.NewWriter(r.opts.Out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	defer w.Flush()
+	fmt.Fprintln(w, "phase\trequests\tanswered\tp50\tp99\tp99.9\ttasks done\ttasks/s\tevictions\t")
+	runs := l.Runs(ledger.Filter{})
+	for _, p := range r.phases {
+		s := r.callers.Window(p.from, p.to, counts)
+		done := countEnds(runs, p, finished)
+		rate := float64(done) / p.to.Sub(p.from).Seconds()
+		fmt.Fprintf(w, "%s\t%d\t%d\t%s\t%s\t%s\t%d\t%.1f\t%d\t\n", p.name, s.Requests, s.Outcomes[caller.Answered],
+			milliseconds(s.P50), milliseconds(s.P99), milliseconds(s.P999), done, rate, countEnds(runs, p, stopped))
+	}
+}
+
+func countEnds(runs []ledger.Run, p phase, outcome string) int {
+	n := 0
+	for _, r := range runs {
+		if r.Outcome == outcome && !r.End.Before(p.from) && r.End.Before(p.to) {
+			n++
+		}
+	}
+	return n
+}
+
+// lateStarts returns the tasks that started in the failure domain well after
+// it was taken out and before it was brought back.
+func (r *run) lateStarts(l *ledger.Ledger) []ledger.Run {
+	var out []ledger.Run
+	for _, p := range r.phases {
+		if p.name != phaseOut {
+			continue
+		}
+		for _, run := range l.Runs(ledger.Filter{FailureDomain: domainOut, After: p.from.Add(startAllowance)}) {
+			if run.Start.Before(p.to) {
+				out = append(out, run)
+			}
+		}
+	}
+	return out
+}
+
+func (v verdict) isSound() bool {
+	tasks := len(v.ledger.Violations) + len(v.unfinished) + len(v.misreports) + len(v.lateStarts) + len(v.failures)
+	return v.requests.IsSound() && tasks == 0
+}
+
+func (v verdict) print(r *run) {
+	w := tabwriter.NewWriter(r.opts.Out, 0, 0, 2, ' ', 0)
+	defer w.Flush()
+	row := func(name string, n int) { fmt.Fprintf(w, "%s\t%d\n", name, n) }
+	row("requests sent", v.requests.Requests)
+	row("requests answered whole", v.requests.Outcomes[caller.Answered])
+	row("requests refused, not run", v.requests.Outcomes[caller.NotRun])
+	row("requests of unknown outcome", v.requests.Outcomes[caller.Unknown])
+	row("requests lost", v.requests.Lost)
+	row("requests doubled", v.requests.Doubled)
+	row("requests misreported", v.requests.Misreported)
+	row("tasks finished", v.ledger.Outcomes[finished])
+	row("tasks evicted", v.ledger.Outcomes[stopped])
+	row("tasks resumed at a checkpoint", v.ledger.Resumes)
+	row("tasks accepted, not finished", len(v.unfinished))
+	row("tasks in two places at once", v.ledger.ViolationCounts[ledger.DoubleRun])
+	row("tasks finished twice", v.ledger.ViolationCounts[ledger.DoubleFinish])
+	row("workers overcommitted", v.ledger.ViolationCounts[ledger.Overcommit])
+	row("starts in the domain out", len(v.lateStarts))
+	row("jobs misreported", len(v.misreports))
+	row("operators' commands failed", len(v.failures))
+}
+
+func (v verdict) printDetails(r *run) {
+	var lines []string
+	lines = append(lines, v.requests.Faults...)
+	for _, x := range v.ledger.Violations {
+		lines = append(lines, string(x.Kind)+": "+x.Detail)
+	}
+	for _, s := range v.lateStarts {
+		lines = append(lines, fmt.Sprintf("late start of %s on %s at %s", s.Task, s.VM, s.Start.Format(time.TimeOnly)))
+	}
+	lines = append(lines, first(v.unfinished, "not finished: ")...)
+	lines = append(lines, first(v.misreports, "")...)
+	lines = append(lines, first(v.failures, "")...)
+	for _, line := range lines {
+		fmt.Fprintln(r.opts.Out, line)
+	}
+}
+
+func first(list []string, prefix string) []string {
+	var out []string
+	for _, s := range list[:min(len(list), maxDetails)] {
+		out = append(out, prefix+s)
+	}
+	return out
+}
+
+func milliseconds(d time.Duration) string {
+	return fmt.Sprintf("%.1f ms", float64(d.Microseconds())/1000)
+}
--- a/standin/executor/executor.go
+++ b/standin/executor/executor.go
@@ -100,6 +100,7 @@
 	w.Header().Set("Content-Type", "text/plain")
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	w.Header().Set("X-Executor", e.opts.ID)
+	q.repeatAttempt(w.Header())
 	if e.faults.TakeCutAnswer(e.opts.ID) {
 		cut(w, body)
 	}
--- a/standin/executor/query.go
+++ b/standin/executor/query.go
@@ -19,6 +19,7 @@
 	ParamBytes      = "bytes"        // size of the answer
 	ParamEvents     = "events"       // events of a watch; 0 for no end
 	watchMedia      = "text/event-stream"
+	headerAttempt   = "Peridotlock-Attempt-Id"
 	headerKey       = "Idempotency-Key" // names the request when it has no id
 	maxAnswerBytes  = 64 << 20
 )
@@ -26,6 +27,7 @@
 // query is what a request asks of the executor.
 type query struct {
 	id, method, path string
+	attempt          string // id of the entry's attempt, repeated in the answer
 	body             string // hash
 	bytes, events    int
 	watch            bool
@@ -40,13 +42,14 @@
 	size, _ := strconv.Atoi(values.Get(ParamBytes))
 	events, _ := strconv.Atoi(values.Get(ParamEvents))
 	return query{
-		id:     id,
-		method: r.Method,
-		path:   r.URL.Path,
-		body:   Hash(body),
-		bytes:  min(size, maxAnswerBytes),
-		events: events,
-		watch:  strings.Contains(r.Header.Get("Accept"), watchMedia),
+		id:      id,
+		method:  r.Method,
+		attempt: r.Header.Get(headerAttempt),
+		path:    r.URL.Path,
+		body:    Hash(body),
+		bytes:   min(size, maxAnswerBytes),
+		events:  events,
+		watch:   strings.Contains(r.Header.Get("Accept"), watchMedia),
 	}
 }
 
@@ -54,6 +57,12 @@
 	return ledger.Execution{Endpoint: endpoint, Method: q.method, Path: q.path, BodyHash: q.body, Start: time.Now()}
 }
 
+func (q query) repeatAttempt(h http.Header) {
+	if q.attempt != "" {
+		h.Set(headerAttempt, q.attempt)
+	}
+}
+
 func (q query) answer() []byte { return Answer(q.id, q.method, q.path, q.body, q.bytes) }
 
 func (q query) event(n int) string { return fmt.Sprintf("id: %d\ndata: %s %s\n\n", n, q.id, q.path) }
