Let a lost attempt live until its connection can be suspected

Cause: a hedge that won cancelled the slow attempt at once, so that a silent connection was never suspected and slow answers were never learned. Change: attempts that lost go on until just after the time of suspicion.

--- a/daemon/entry/status.go
+++ b/daemon/entry/status.go
@@ -1,61 +1,47 @@
 package entry
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"sync/atomic"
 
-	"github.com/VictoriaMetrics/metrics"
-
 	core "github.com/peridotlock/peridotlock/entry"
+	"github.com/peridotlock/peridotlock/telemetry"
+)
+
+var (
+	errDraining   = errors.New("draining")
+	errNoSnapshot = errors.New("no snapshot yet")
 )
 
 // readiness answers the operators and the platform's balancer.
 type readiness struct {
 	entry    *core.Entry
 	draining atomic.Bool
-	failure  atomic.Pointer[string] // of the newest failed poll for a snapshot
+	failure  atomic.Pointer[error] // of the newest failed poll for a snapshot
 }
 
 func (s *readiness) fail(err error) {
-	text := err.Error()
-	s.failure.Store(&text)
+	s.failure.Store(&err)
 }
 
 func (s *readiness) drain() { s.draining.Store(true) }
 
-// reason tells why the entry is not ready, or "".
-func (s *readiness) reason() string {
+// ready returns nil or why the entry is not ready.
+func (s *readiness) ready() error {
 	if s.draining.Load() {
-		return "draining"
+		return errDraining
 	}
 	if s.entry.IsReady() {
-		return ""
+		return nil
 	}
-	if text := s.failure.Load(); text != nil {
-		return "no snapshot yet: " + *text
+	if err := s.failure.Load(); err != nil {
+		return fmt.Errorf("no snapshot yet: %w", *err)
 	}
-	return "no snapshot yet"
+	return errNoSnapshot
 }
 
 func (s *readiness) handler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, "ok") })
-	mux.HandleFunc("GET /readyz", s.ready)
-	mux.HandleFunc("GET /metrics", s.metrics)
-	return mux
-}
-
-func (s *readiness) ready(w http.ResponseWriter, _ *http.Request) {
-	if reason := s.reason(); reason != "" {
-		http.Error(w, reason, http.StatusServiceUnavailable)
-		return
-	}
-	fmt.Fprintln(w, "ready")
-}
-
-func (s *readiness) metrics(w http.ResponseWriter, _ *http.Request) {
-	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
-	s.entry.Metrics().Write(w)
-	metrics.WriteProcessMetrics(w)
+	return telemetry.Operators(s.entry.Metrics().Set(), s.ready)
 }
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -76,5 +75,5 @@
 	}
 }
 
-// Write writes all metrics in the Prometheus text format.
-func (m *Metrics) Write(w io.Writer) { m.set.WritePrometheus(w) }
+// Set returns all metrics, for the operators' address.
+func (m *Metrics) Set() *metrics.Set { return m.set }
--- a/entry/race.go
+++ b/entry/race.go
@@ -15,6 +15,8 @@
 const (
 	minHedge   = 5 * time.Millisecond
 	firstHedge = 500 * time.Millisecond // before anything is learned
+
+	lingerMargin = 5 * time.Millisecond // beyond the time of suspicion
 )
 
 // race runs the attempts of one idempotent request. The first whole answer
@@ -49,8 +51,7 @@
 	if problem != nil {
 		return problem
 	}
-	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
-	defer cancel()
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(c.r.Context()), c.deadline)
 	r := &race{
 		call:    c,
 		ctx:     ctx,
@@ -59,10 +60,21 @@
 		results: make(chan result, max(1, c.policy.MaxAttempts)),
 	}
 	r.budget.Deposit(c.policy.RetryBudget)
+	defer r.finish()
 	r.launch(slot, attemptFirst)
 	return r.run()
 }
 
+// finish ends the attempts that lost. They get the time to tell a slow answer
+// from a silent connection, since both teach something about the endpoint.
+func (r *race) finish() {
+	if r.pending == 0 || r.call.r.Context().Err() != nil {
+		r.cancel()
+		return
+	}
+	time.AfterFunc(r.call.silence()+lingerMargin, r.cancel)
+}
+
 func (r *race) launch(slot *balance.Slot, kind attemptKind) {
 	r.made++
 	r.pending++
@@ -120,7 +132,9 @@
 			delay *= 2
 			timer.Reset(delay)
 		case <-r.ctx.Done():
-			return r.abandon()
+			return r.abandon(r.ctx.Err())
+		case <-r.call.r.Context().Done():
+			return r.abandon(r.call.r.Context().Err())
 		}
 	}
 }
@@ -194,14 +208,11 @@
 }
 
 func (r *race) deliver(res result) *answer.Problem {
-	if res.answer.Rest == nil {
-		r.cancel() // ends the attempts that lost
-	}
 	return r.call.deliverFrom(res.slot, res.answer)
 }
 
 // abandon ends a request whose deadline passed or whose caller is gone.
-func (r *race) abandon() *answer.Problem {
+func (r *race) abandon(cause error) *answer.Problem {
 	if !r.won.CompareAndSwap(false, true) {
 		for res := range r.results {
 			if res.isGood() {
@@ -209,5 +220,5 @@
 			}
 		}
 	}
-	return r.call.failure(errors.Join(r.ctx.Err(), r.failed.err))
+	return r.call.failure(errors.Join(cause, r.failed.err))
 }
--- a/load/endpoint.go
+++ b/load/endpoint.go
@@ -17,6 +17,7 @@
 // Headers and values of the built-in endpoint.
 const (
 	SizeHeader  = "Load-Answer-Bytes" // size of the answer
+	TookHeader  = "Load-Took-Ns"      // time from the request's arrival to the answer
 	WatchPath   = "/watch"            // streams ticks without an end
 	readTimeout = 30 * time.Second
 	watchTick   = 20 * time.Millisecond
@@ -42,7 +43,9 @@
 	noise   atomic.Int64 // factor of the service time in thousandths
 	leaving atomic.Bool
 	running atomic.Int64
-	Peak    atomic.Int64 // most open connections
+	peak    atomic.Int64 // most open connections
+	asked   atomic.Int64
+	served  atomic.Int64
 
 	current atomic.Pointer[session]
 }
@@ -89,6 +92,15 @@
 // Addr returns the endpoint's address.
 func (e *Endpoint) Addr() string { return e.addr }
 
+// Asked returns the requests that reached the endpoint.
+func (e *Endpoint) Asked() int { return int(e.asked.Load()) }
+
+// Served returns the requests that the endpoint ran.
+func (e *Endpoint) Served() int { return int(e.served.Load()) }
+
+// Peak returns the most connections that were open at once.
+func (e *Endpoint) Peak() int { return int(e.peak.Load()) }
+
 // Silence makes the open connections silent; new ones work.
 func (e *Endpoint) Silence() { e.current.Load().listener.silence() }
 
@@ -112,7 +124,7 @@
 		return
 	}
 	n := int64(e.current.Load().listener.open())
-	for peak := e.Peak.Load(); n > peak && !e.Peak.CompareAndSwap(peak, n); peak = e.Peak.Load() {
+	for peak := e.peak.Load(); n > peak && !e.peak.CompareAndSwap(peak, n); peak = e.peak.Load() {
 	}
 	if n > int64(e.options.Connections) {
 		c.Close()
@@ -125,10 +137,12 @@
 		e.watch(w, r)
 		return
 	}
+	start := time.Now()
 	request, err := io.ReadAll(r.Body)
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
+	e.asked.Add(1)
 	id := r.Header.Get(IDHeader)
 	fault := e.faultOf(id)
 	if !fault.Runs() {
@@ -154,6 +168,7 @@
 		w.Header()[name] = values
 	}
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.Header().Set(TookHeader, strconv.FormatInt(int64(time.Since(start)), 10))
 	w.Write(body)
 }
 
@@ -177,6 +192,7 @@
 	}
 	defer func() { <-e.slots }()
 	e.options.Ledger.Run(id)
+	e.served.Add(1)
 	busy := e.running.Add(1)
 	defer e.running.Add(-1)
 	share := float64(busy) / float64(e.options.Slots)
