--- a/stream/property_test.go
+++ b/stream/property_test.go
@@ -72,7 +72,7 @@
 
 // script is one run: what each writer appends and what goes wrong.
 type script struct {
-	faults    []int
+	faults    []fault
 	outages   []outage
 	entries   []scriptEntry
 	snapshots []snapshotAction
@@ -96,8 +96,11 @@
 	}
 	limit := int(runTime / time.Second)
 	s := script{
-		faults: rapid.SliceOfN(rapid.IntRange(-int(faults), int(faults)-1), 0, 120).Draw(t, "faults"),
-		keep:   seconds(400, 800).Draw(t, "keep"),
+		keep: seconds(400, 800).Draw(t, "keep"),
+	}
+	for range rapid.IntRange(0, 40).Draw(t, "bursts") {
+		f := max(none, fault(rapid.IntRange(-int(faults), int(faults)-1).Draw(t, "fault")))
+		s.faults = append(s.faults, slices.Repeat([]fault{f}, rapid.IntRange(1, 6).Draw(t, "length"))...)
 	}
 	for range rapid.IntRange(0, 2).Draw(t, "outages") {
 		from := seconds(0, limit).Draw(t, "from")
@@ -150,10 +153,7 @@
 func runScript(s script) []string {
 	ctx, cancel := context.WithCancel(context.Background())
 	b := &bench{log: newFaultLog(), ctx: ctx, outcomes: make(map[string]outcome)}
-	b.log.keep, b.log.outages = s.keep, s.outages
-	for _, f := range s.faults {
-		b.log.plan = append(b.log.plan, fault(max(f, 0)))
-	}
+	b.log.keep, b.log.outages, b.log.plan = s.keep, s.outages, s.faults
 	var writers []*LogWriter
 	for range 3 {
 		w := NewWriter(b.log, WriterOptions{})
@@ -161,7 +161,7 @@
 		b.running.Go(func() { w.Run(ctx) })
 	}
 	first := b.follow(nil)
-	b.follow(func() Source { return b.peer(first) })
+	second := b.follow(func() Source { return b.peer(first) })
 	b.publish(first, writers[0])
 
 	var actions sync.WaitGroup
@@ -169,7 +169,7 @@
 		actions.Go(func() { b.append(writers[e.writer], fmt.Sprintf("e%d", i), e) })
 	}
 	for _, a := range s.snapshots {
-		actions.Go(func() { b.lateSnapshot(first, a) })
+		actions.Go(func() { b.lateSnapshot(first, second, a) })
 	}
 	slices.Sort(s.newcomers)
 	for _, at := range s.newcomers {
@@ -227,14 +227,18 @@
 	b.outcomes[id] = outcome{offset, err}
 }
 
-// lateSnapshot writes a snapshot long after it was taken.
-func (b *bench) lateSnapshot(r *Replica, a snapshotAction) {
+// lateSnapshot writes a snapshot, and hands it to a peer, long after it was
+// taken.
+func (b *bench) lateSnapshot(from, to *Replica, a snapshotAction) {
 	sleepUntil(b.log.start, a.at)
-	data, err := r.ExportSnapshot()
+	data, err := from.ExportSnapshot()
 	if err != nil {
 		panic(err)
 	}
 	time.Sleep(a.delay)
+	if err := to.ImportSnapshot(data); err != nil {
+		panic(err)
+	}
 	for _, p := range splitSnapshot(uniqueSuffix(), data) {
 		encoded, _ := cbor.Marshal(p)
 		b.log.write(name, []platform.NewRecord{{ID: partID(p), Data: encoded}})
