--- a/cmd/peridotlock-scheduler/main.go
+++ b/cmd/peridotlock-scheduler/main.go
@@ -1,4 +1,4 @@
-// Command peridotlock-scheduler serves callers on an scheduler VM.
+// Command peridotlock-scheduler places tasks and relays settings on an entry VM.
 package main
 
 import (
--- a/scheduler/commands.go
+++ b/scheduler/commands.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
 
 	"github.com/peridotlock/peridotlock/api/command"
 	"github.com/peridotlock/peridotlock/api/problem"
@@ -26,6 +27,9 @@
 	if known, ok := p.s.settings.Outcome(e.Key); ok {
 		return receipt(e.Key, known), nil
 	}
+	if err := p.trial(e.Edit); err != nil {
+		return command.Receipt{}, err
+	}
 	data, err := e.Encode()
 	if err != nil {
 		return command.Receipt{}, fmt.Errorf("encode edit: %w", err)
@@ -38,6 +42,16 @@
 	return p.readBack(ctx, e.Key, offset)
 }
 
+// trial refuses an edit that would be invalid now, so that no record is spent
+// on it.
+func (p publisher) trial(e settings.Edit) error {
+	found, err := p.s.settings.Trial(e)
+	if err != nil {
+		return problem.New(problem.Invalid, http.StatusUnprocessableEntity, "%v", err)
+	}
+	return found.Err()
+}
+
 // readBack waits until the record was interpreted. It is on the log, so a
 // failure to learn its effect leaves the outcome in doubt.
 func (p publisher) readBack(ctx context.Context, key string, offset platform.Offset) (command.Receipt, error) {
@@ -65,7 +79,7 @@
 	if v == nil {
 		return nil, problem.NotReady("settings are not known yet")
 	}
-	if err := checkTeams(v, jobs); err != nil {
+	if err := checkReferences(v, jobs); err != nil {
 		return nil, err
 	}
 	out := make([]command.Submission, len(jobs))
@@ -76,12 +90,12 @@
 	return out, nil
 }
 
-// checkTeams finds jobs of teams that the settings don't have.
-func checkTeams(v *settings.View, jobs []job.Spec) error {
+// checkReferences finds names in jobs that the settings don't have.
+func checkReferences(v *settings.View, jobs []job.Spec) error {
 	var found finding.List
 	for i, spec := range jobs {
-		if _, ok := v.Team(spec.Team); !ok {
-			found.Addf(fmt.Sprintf("jobs[%d].team", i), "the settings have no team %q", spec.Team)
+		for _, f := range spec.CheckReferences(v) {
+			found.Addf(fmt.Sprintf("jobs[%d].%s", i, f.Key), "%s", f.Message)
 		}
 	}
 	return found.Err()
