Count peer traffic, drop idle clients, dial without holding a lock

Cause: a client held its lock while it connected, so calls to an address that drops packets waited for dialTimeout regardless of their own deadline; clients of replaced VMs were kept for ever; traffic for control could not be read.

--- a/telemetry/log.go
+++ b/telemetry/log.go
@@ -22,5 +22,20 @@
 // NewLogger returns a logger that writes one line of key=value pairs for each
 // event to w.
 func NewLogger(w io.Writer, v *Verbosity) logr.Logger {
-	return logr.FromSlogHandler(slog.NewTextHandler(w, &slog.HandlerOptions{Level: v}))
+	return logr.FromSlogHandler(slog.NewTextHandler(w, &slog.HandlerOptions{Level: v, ReplaceAttr: nameLevel}))
+}
+
+// nameLevel gives the verbosities of logr names of their own.
+func nameLevel(_ []string, a slog.Attr) slog.Attr {
+	level, ok := a.Value.Any().(slog.Level)
+	if a.Key != slog.LevelKey || !ok {
+		return a
+	}
+	switch level {
+	case -1:
+		return slog.String(slog.LevelKey, "DEBUG")
+	case -2:
+		return slog.String(slog.LevelKey, "TRACE")
+	}
+	return a
 }
--- a/wire/client.go
+++ b/wire/client.go
@@ -32,9 +32,11 @@
 type Client struct {
 	addr     string
 	inFlight atomic.Int64
+	used     atomic.Int64 // time of the newest call, ns since 1970
 
-	mu     sync.Mutex // protects client
-	client *rpc.Client
+	mu      sync.Mutex // protects all below
+	client  *rpc.Client
+	dialing *dial
 }
 
 // NewClient returns a client of the peer at addr, "IP:port".
@@ -46,6 +48,19 @@
 // Call executes method at the peer. An error wraps ErrNotSent, wraps
 // ErrUnanswered, or is an rpc.ServerError with the peer's words.
 func (c *Client) Call(ctx context.Context, method string, args, reply any) error {
+	err := c.call(ctx, method, args, reply)
+	switch {
+	case errors.Is(err, ErrNotSent):
+		callsNotSent.Inc()
+	case errors.Is(err, ErrUnanswered):
+		callsLost.Inc()
+	}
+	return err
+}
+
+func (c *Client) call(ctx context.Context, method string, args, reply any) error {
+	callsSent.Inc()
+	c.used.Store(time.Now().UnixNano())
 	if c.inFlight.Add(1) > maxInFlight {
 		c.inFlight.Add(-1)
 		return ErrBusy
@@ -70,6 +85,11 @@
 	return fmt.Errorf("%w: %s to %s: %w", ErrUnanswered, method, c.addr, call.Error)
 }
 
+// isIdle reports whether no call is in flight and none began within idleLimit.
+func (c *Client) isIdle(now time.Time) bool {
+	return c.inFlight.Load() == 0 && now.Sub(time.Unix(0, c.used.Load())) >= idleLimit
+}
+
 // Close closes the connection, if any.
 func (c *Client) Close() {
 	c.mu.Lock()
@@ -80,19 +100,47 @@
 	}
 }
 
+// dial is one attempt to connect, shared by all calls that wait for it.
+type dial struct {
+	done   chan struct{} // closed when client and err are set
+	client *rpc.Client
+	err    error
+}
+
+// connect returns the present connection or waits for a new one until ctx ends.
 func (c *Client) connect(ctx context.Context) (*rpc.Client, error) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	if c.client != nil {
+		defer c.mu.Unlock()
 		return c.client, nil
 	}
-	dialer := net.Dialer{Timeout: dialTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", c.addr)
+	if c.dialing == nil {
+		c.dialing = &dial{done: make(chan struct{})}
+		go c.dial(c.dialing)
+	}
+	d := c.dialing
+	c.mu.Unlock()
+	select {
+	case <-d.done:
+		return d.client, d.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// dial connects without holding the lock, since it may take dialTimeout.
+func (c *Client) dial(d *dial) {
+	conn, err := net.DialTimeout("tcp", c.addr, dialTimeout)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	defer close(d.done)
+	c.dialing = nil
 	if err != nil {
-		return nil, err
+		d.err = err
+		return
 	}
-	c.client = rpc.NewClientWithCodec(clientCodec{newCodec(conn)})
-	return c.client, nil
+	d.client = rpc.NewClientWithCodec(clientCodec{newCodec(countedConn{conn})})
+	c.client = d.client
 }
 
 func (c *Client) retire(old *rpc.Client) {
@@ -103,33 +151,3 @@
 	}
 	old.Close()
 }
-
-// Pool keeps one client per peer address.
-type Pool struct {
-	mu      sync.Mutex // protects clients
-	clients map[string]*Client
-}
-
-// NewPool returns an empty pool.
-func NewPool() *Pool { return &Pool{clients: make(map[string]*Client)} }
-
-// Client returns the client of the peer at addr.
-func (p *Pool) Client(addr string) *Client {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	c, ok := p.clients[addr]
-	if !ok {
-		c = NewClient(addr)
-		p.clients[addr] = c
-	}
-	return c
-}
-
-// Close closes all clients.
-func (p *Pool) Close() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, c := range p.clients {
-		c.Close()
-	}
-}
--- /dev/null
+++ b/wire/metrics.go
@@ -0,0 +1,33 @@
+package wire
+
+import (
+	"net"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// Traffic with peers, of all clients and servers of the process.
+var (
+	bytesReceived = metrics.NewCounter(`peridotlock_peer_bytes_total{direction="received"}`)
+	bytesSent     = metrics.NewCounter(`peridotlock_peer_bytes_total{direction="sent"}`)
+	callsSent     = metrics.NewCounter(`peridotlock_peer_calls_total`)
+	callsNotSent  = metrics.NewCounter(`peridotlock_peer_call_failures_total{reason="not-sent"}`)
+	callsLost     = metrics.NewCounter(`peridotlock_peer_call_failures_total{reason="unanswered"}`)
+)
+
+// countedConn counts the bytes of a connection.
+type countedConn struct{ net.Conn }
+
+// Read implements net.Conn.
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	bytesReceived.Add(n)
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	bytesSent.Add(n)
+	return n, err
+}
--- a/wire/server.go
+++ b/wire/server.go
@@ -57,7 +57,7 @@
 }
 
 func (s *Server) serveConn(conn net.Conn) {
-	s.rpc.ServeCodec(serverCodec{newCodec(conn)})
+	s.rpc.ServeCodec(serverCodec{newCodec(countedConn{conn})})
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, conn)
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/rpc"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -76,3 +77,17 @@
 		})
 	})
 }
+
+func TestPoolDropsIdleClients(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := NewPool()
+		old := p.Client("127.0.0.1:1")
+		time.Sleep(idleLimit)
+		if p.Client("127.0.0.1:2"); p.Len() != 1 {
+			t.Fatalf("%d clients, want the new one only", p.Len())
+		}
+		if p.Client("127.0.0.1:1") == old {
+			t.Fatal("the idle client was kept")
+		}
+	})
+}
