Read a document and its base in one step; tell a lost edit before it is written

Cause: a record applied between reading a document and its base gave the operator an older text with a newer base, so that the edit silently undid the other's change. An edit that was both stale and invalid was told invalid. Change: Document and Current return the base of the same moment; Trial runs the whole interpretation, and a lost edit stays lost, so the server refuses it without a record. Conclusion: the differential test holds Trial against the record that follows.

--- a/api/command/command.go
+++ b/api/command/command.go
@@ -15,8 +15,10 @@
 type Settings interface {
 	// Publish appends the edit under its key and returns once the record was
 	// read back and interpreted. Publishing the same key again has the effect
-	// of one record. Errors wrap platform.ErrUnavailable when the edit is
-	// certainly absent and platform.ErrInDoubt when that is unknown.
+	// of one record. An edit that would be lost or invalid now may be refused
+	// without a record; its revision is -1. Errors wrap platform.ErrUnavailable
+	// when the edit is certainly absent and platform.ErrInDoubt when that is
+	// unknown.
 	Publish(ctx context.Context, e Edit) (Receipt, error)
 }
 
--- a/api/command/handler.go
+++ b/api/command/handler.go
@@ -75,11 +75,11 @@
 func refusal(c settings.Change) error {
 	switch c.Result {
 	case settings.Lost:
-		p := problem.New(problem.Lost, http.StatusConflict, "revision %d: %s", c.Revision, c.Detail)
+		p := problem.New(problem.Lost, http.StatusConflict, "%s", c.Detail)
 		p.Conflicts = c.Conflicts
 		return p
 	case settings.Invalid:
-		p := problem.New(problem.Invalid, http.StatusUnprocessableEntity, "revision %d: %s", c.Revision, c.Detail)
+		p := problem.New(problem.Invalid, http.StatusUnprocessableEntity, "%s", c.Detail)
 		p.Findings = c.Findings
 		return p
 	}
--- a/daemon/ctl/ctl_test.go
+++ b/daemon/ctl/ctl_test.go
@@ -73,11 +73,11 @@
 	if r == query.Present {
 		r = b.next - 1
 	}
-	d, err := b.machine.Document(p, r)
+	d, base, err := b.machine.Document(p, r)
 	if err != nil {
 		return query.Document{}, problem.Missing("%v", err)
 	}
-	return query.Document{Document: d, Base: b.machine.BranchRevision(p)}, nil
+	return query.Document{Document: d, Base: base}, nil
 }
 
 func (b *backend) Effective(_ context.Context, p fleet.Path) ([]settings.Effective, error) {
--- a/scheduler/commands.go
+++ b/scheduler/commands.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net/http"
 
 	"github.com/peridotlock/peridotlock/api/command"
 	"github.com/peridotlock/peridotlock/api/problem"
@@ -19,7 +18,8 @@
 // publisher implements command.Settings.
 type publisher struct{ s *Scheduler }
 
-// Publish implements command.Settings.
+// Publish implements command.Settings. No record is spent on an edit that would
+// be lost or invalid now.
 func (p publisher) Publish(ctx context.Context, e command.Edit) (command.Receipt, error) {
 	if ok, reason := p.s.follow.Ready(); !ok {
 		return command.Receipt{}, problem.NotReady("settings are not known yet: %s", reason)
@@ -27,8 +27,8 @@
 	if known, ok := p.s.settings.Outcome(e.Key); ok {
 		return receipt(e.Key, known), nil
 	}
-	if err := p.trial(e.Edit); err != nil {
-		return command.Receipt{}, err
+	if trial := p.s.settings.Trial(e.Edit); trial.Result != settings.Applied {
+		return receipt(e.Key, trial), nil
 	}
 	data, err := e.Encode()
 	if err != nil {
@@ -42,16 +42,6 @@
 	return p.readBack(ctx, e.Key, offset)
 }
 
-// trial refuses an edit that would be invalid now, so that no record is spent
-// on it.
-func (p publisher) trial(e settings.Edit) error {
-	found, err := p.s.settings.Trial(e)
-	if err != nil {
-		return problem.New(problem.Invalid, http.StatusUnprocessableEntity, "%v", err)
-	}
-	return found.Err()
-}
-
 // readBack waits until the record was interpreted. It is on the log, so a
 // failure to learn its effect leaves the outcome in doubt.
 func (p publisher) readBack(ctx context.Context, key string, offset platform.Offset) (command.Receipt, error) {
--- a/scheduler/queries.go
+++ b/scheduler/queries.go
@@ -45,14 +45,14 @@
 	if err := q.check(); err != nil {
 		return query.Document{}, err
 	}
-	doc, err := q.document(path, revision)
+	doc, base, err := q.document(path, revision)
 	if err != nil {
 		return query.Document{}, problem.Missing("%v", err)
 	}
-	return query.Document{Document: doc, Base: q.s.settings.BranchRevision(path)}, nil
+	return query.Document{Document: doc, Base: base}, nil
 }
 
-func (q settingsQueries) document(path fleet.Path, revision platform.Offset) (settings.Document, error) {
+func (q settingsQueries) document(path fleet.Path, revision platform.Offset) (settings.Document, platform.Offset, error) {
 	if revision == query.Present {
 		return q.s.settings.Current(path)
 	}
--- a/settings/machine.go
+++ b/settings/machine.go
@@ -66,9 +66,28 @@
 		m.history.add(c.invalid(err.Error(), nil))
 		return
 	}
+	c, p := m.interpret(c.of(e), e)
+	if c.Result == Applied {
+		c.Replaced = p.replaced
+		m.apply(p, c.Revision)
+	}
+	m.history.add(c)
+}
+
+// Trial returns what would become of an edit if it were the next record, and
+// changes nothing. An edit that is lost now stays lost.
+func (m *Machine) Trial(e Edit) Change {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	c, _ := m.interpret(Change{Revision: m.seen + 1}.of(e), e)
+	c.Revision = noRevision
+	return c
+}
+
+func (c Change) of(e Edit) Change {
 	c.Branch, c.Base, c.Operation = e.Branch, e.Base, e.Operation
 	c.Author, c.Note = e.Author, e.Note
-	m.history.add(m.interpret(c, e))
+	return c
 }
 
 func (c Change) invalid(detail string, found finding.List) Change {
@@ -85,34 +104,37 @@
 	return c
 }
 
-// interpret decides on one edit and applies it.
-func (m *Machine) interpret(c Change, e Edit) Change {
+// interpret decides on one edit; the proposal is what to apply.
+func (m *Machine) interpret(c Change, e Edit) (Change, proposal) {
 	if err := e.Validate(); err != nil {
-		return c.invalid(err.Error(), nil)
+		return c.invalid(err.Error(), nil), proposal{}
 	}
 	if e.Base >= c.Revision {
-		return c.invalid(fmt.Sprintf("base %d is not older than the edit", e.Base), nil)
+		return c.invalid(fmt.Sprintf("base %d is not older than the edit", e.Base), nil), proposal{}
 	}
 	if stale := m.changed.staleAt(e); len(stale) > 0 {
-		return c.lost(m.explain(stale))
+		return c.lost(m.explain(stale)), proposal{}
 	}
 	p, err := m.propose(e, c.Revision)
 	if err != nil {
-		return c.invalid(err.Error(), nil)
+		return c.invalid(err.Error(), nil), proposal{}
 	}
-	if p.root != nil {
-		changed := changedBelow(m.root.find(e.Branch), p.root.find(e.Branch))
-		if stale := m.changed.staleAbove(e, changed); len(stale) > 0 {
-			return c.lost(m.explain(stale))
-		}
+	if stale := m.staleAbove(e, p); len(stale) > 0 {
+		return c.lost(m.explain(stale)), proposal{}
 	}
 	if len(p.found) > 0 {
-		return c.invalid("the tree would not pass the check", p.found)
+		return c.invalid("the tree would not pass the check", p.found), proposal{}
 	}
-	m.apply(p, c.Revision)
 	c.Result = Applied
-	c.Replaced = p.replaced
-	return c
+	return c, p
+}
+
+func (m *Machine) staleAbove(e Edit, p proposal) []Conflict {
+	if p.root == nil {
+		return nil
+	}
+	changed := changedBelow(m.root.find(e.Branch), p.root.find(e.Branch))
+	return m.changed.staleAbove(e, changed)
 }
 
 func (m *Machine) explain(list []Conflict) []Conflict {
--- a/settings/machine_test.go
+++ b/settings/machine_test.go
@@ -64,6 +64,7 @@
 			e, doc := drawEdit(t, m, at)
 			r := recordOf(t, e, at)
 			want := n.interpret(e, doc, at)
+			trial := m.Trial(e).Result
 			m.Apply(r)
 			m.Apply(r)
 			if rapid.Bool().Draw(t, "restore") {
@@ -71,7 +72,7 @@
 			}
 			other.Apply(r)
 			c, ok := m.Outcome(r.ID)
-			if !ok || c.Result != want {
+			if !ok || c.Result != want || trial != want {
 				t.Fatalf("revision %d: %+v: got %s %s %v %v, want %s", at, e, c.Result, c.Detail, c.Conflicts, c.Findings, want)
 			}
 			if got := flatten(m.root); !maps.Equal(got, n.now().facts) {
@@ -88,7 +89,7 @@
 	if m.root.find(path) == nil {
 		return
 	}
-	d, err := m.Current(path)
+	d, _, err := m.Current(path)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/settings/proposal.go
+++ b/settings/proposal.go
@@ -68,33 +68,24 @@
 	p.found = sortFindings(append(found, checkTree(p.root)...))
 }
 
-// Trial returns the findings that an edit would have if it were interpreted
-// now, and changes nothing.
-func (m *Machine) Trial(e Edit) (finding.List, error) {
-	m.mu.RLock()
-	defer m.mu.RUnlock()
-	if err := e.Validate(); err != nil {
-		return nil, err
-	}
-	p, err := m.propose(e, m.seen+1)
-	return p.found, err
-}
-
 // Document returns the text of the branch at path as of the revision; use the
 // newest one seen for the present. The text is that of the operator's file
 // when nothing below was edited separately. Failure domains that exist now are
-// out in it when they are out now.
-func (m *Machine) Document(path fleet.Path, revision platform.Offset) (Document, error) {
+// out in it when they are out now. The base belongs to the same moment: an edit
+// made from the text names it.
+func (m *Machine) Document(path fleet.Path, revision platform.Offset) (d Document, base platform.Offset, err error) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	return m.documentAt(path, revision)
+	d, err = m.documentAt(path, revision)
+	return d, m.changed.newest(path), err
 }
 
-// Current returns the present text of the branch at path.
-func (m *Machine) Current(path fleet.Path) (Document, error) {
+// Current returns the present text of the branch at path and its base.
+func (m *Machine) Current(path fleet.Path) (d Document, base platform.Offset, err error) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	return m.documentAt(path, m.seen)
+	d, err = m.documentAt(path, m.seen)
+	return d, m.changed.newest(path), err
 }
 
 func (m *Machine) documentAt(path fleet.Path, revision platform.Offset) (Document, error) {
