--- a/finding/finding.go
+++ b/finding/finding.go
@@ -3,7 +3,9 @@
 package finding
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"strings"
 )
 
@@ -56,6 +58,14 @@
 	return l
 }
 
+// Sort orders the list by file, line and column, and returns it.
+func (l List) Sort() List {
+	slices.SortStableFunc(l, func(a, b Finding) int {
+		return cmp.Or(cmp.Compare(a.File, b.File), cmp.Compare(a.Line, b.Line), cmp.Compare(a.Column, b.Column))
+	})
+	return l
+}
+
 // Addf appends a finding at path.
 func (l *List) Addf(path, format string, args ...any) {
 	*l = append(*l, Finding{Path: path, Message: fmt.Sprintf(format, args...)})
--- a/job/file.go
+++ b/job/file.go
@@ -10,7 +10,12 @@
 	"github.com/peridotlock/peridotlock/finding"
 )
 
-const keyJobs = "jobs"
+// The keys that the reader treats apart.
+const (
+	keyJobs        = "jobs"
+	keySize        = "size"
+	keyIdempotency = "idempotency-key"
+)
 
 // fileReader collects the jobs and findings of one file.
 type fileReader struct {
@@ -28,7 +33,7 @@
 	}
 	r := &fileReader{file: file}
 	r.root(root)
-	if err := r.found.Err(); err != nil {
+	if err := r.found.Sort().Err(); err != nil {
 		return nil, err
 	}
 	return r.jobs, nil
@@ -74,17 +79,18 @@
 			r.addf(path, item, "a job must be a mapping")
 			continue
 		}
-		s := r.spec(path, item)
+		s, places := r.spec(path, item)
 		if s.IdempotencyKey != "" && keys[s.IdempotencyKey] {
-			r.addf(path+".idempotency-key", item, "%q stands twice", s.IdempotencyKey)
+			r.addf(path+"."+keyIdempotency, places[keyIdempotency], "%q stands twice", s.IdempotencyKey)
 		}
 		keys[s.IdempotencyKey] = true
 		r.jobs = append(r.jobs, s)
 	}
 }
 
-// spec decodes one job member by member, so that one fault hides no other.
-func (r *fileReader) spec(path string, n *yaml.Node) Spec {
+// spec decodes one job member by member, so that one fault hides no other, and
+// returns where the members stand.
+func (r *fileReader) spec(path string, n *yaml.Node) (Spec, map[string]*yaml.Node) {
 	var s Spec
 	places := map[string]*yaml.Node{}
 	members := s.members()
@@ -93,8 +99,8 @@
 		places[key] = v
 		target, ok := members[key]
 		switch {
-		case key == "size" && v.Kind == yaml.MappingNode:
-			r.mapping(path, "size.", v, func(key string, k, v *yaml.Node) {
+		case key == keySize && v.Kind == yaml.MappingNode:
+			r.mapping(path, keySize+".", v, func(key string, k, v *yaml.Node) {
 				places[key] = v
 				broken[key] = !r.decode(path, key, k, v, members[key])
 			})
@@ -114,7 +120,7 @@
 		}
 		r.addf(path+"."+f.Key, at, "%s", f.Message)
 	}
-	return s
+	return s, places
 }
 
 // members returns the targets of the keys of a job file.
--- a/settings/proposal.go
+++ b/settings/proposal.go
@@ -65,7 +65,7 @@
 		found.Addf("/", "all documents together have %d bytes, more than %d", size, maxTreeBytes)
 	}
 	p.root = p.contents.compose()
-	p.found = sortFindings(append(found, checkTree(p.root)...))
+	p.found = append(found, checkTree(p.root)...).Sort()
 }
 
 // Document returns the text of the branch at path as of the revision; use the
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -9,6 +9,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/peridotlock/peridotlock/fleet"
+	"github.com/peridotlock/peridotlock/platform"
 )
 
 const clashing = `
@@ -142,6 +143,29 @@
 	})
 }
 
+func FuzzApply(f *testing.F) {
+	for _, operation := range []Operation{Replace, TakeOut, Revert} {
+		data, err := Edit{Author: "a", Base: -1, Operation: operation, Text: clashing}.Encode()
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m := NewMachine()
+		m.Apply(platform.Record{Offset: 0, ID: "a", Data: data})
+		m.Apply(platform.Record{Offset: 1, ID: "b", Data: data})
+		_ = NewMachine().Restore(data)
+		snapshot, err := m.Snapshot()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := NewMachine().Restore(snapshot); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
 func FuzzCheck(f *testing.F) {
 	f.Add([]byte(clashing))
 	f.Add([]byte("a: &x [*x]\n"))
--- a/settings/tree.go
+++ b/settings/tree.go
@@ -1,9 +1,6 @@
 package settings
 
 import (
-	"slices"
-	"strings"
-
 	"github.com/peridotlock/peridotlock/finding"
 	"github.com/peridotlock/peridotlock/fleet"
 	"github.com/peridotlock/peridotlock/platform"
@@ -25,7 +22,7 @@
 // what depends on the branches above is found when the edit is interpreted.
 func CheckBranch(path fleet.Path, file string, data []byte) finding.List {
 	_, found := readDocument(Document{Branch: path, File: file, Text: string(data), Revision: noRevision})
-	return sortFindings(found)
+	return found.Sort()
 }
 
 // Build returns the tree that one document describes. The error is a
@@ -46,20 +43,7 @@
 	if root == nil {
 		return nil, found
 	}
-	return root, sortFindings(append(found, checkTree(root)...))
-}
-
-func sortFindings(found finding.List) finding.List {
-	slices.SortStableFunc(found, func(a, b finding.Finding) int {
-		if c := strings.Compare(a.File, b.File); c != 0 {
-			return c
-		}
-		if a.Line != b.Line {
-			return a.Line - b.Line
-		}
-		return a.Column - b.Column
-	})
-	return found
+	return root, append(found, checkTree(root)...).Sort()
 }
 
 // View returns the effective settings.
