--- a/settings/check.go
+++ b/settings/check.go
@@ -11,6 +11,7 @@
 
 // checker holds a composed tree against the rules that span branches.
 type checker struct {
+	branches int
 	found  finding.List
 	routed map[hostRoute]fleet.Path // service that has the route
 }
@@ -28,13 +29,29 @@
 	}
 }
 
+// Bounds of a tree. They keep the work of a check in proportion to its text.
+const (
+	maxBranches = 10_000
+	maxRoutes   = 128 // in force at one branch
+)
+
 // branch checks b below the nearest ancestor with a kind.
 func (c *checker) branch(b *branch, above Kind, inherited scope) {
+	if c.branches++; c.branches > maxBranches {
+		if c.branches == maxBranches+1 {
+			c.addf(b.at, b, keyBranches, "more than %d branches", maxBranches)
+		}
+		return
+	}
 	kind := b.kind()
 	c.kind(b, above)
 	c.allowed(b, kind)
 	c.removals(b, inherited)
 	s := inherited.below(b)
+	if n := s.countRoutes(); n > maxRoutes {
+		c.addf(b.at, b, keyRoutes, "%d routes, more than %d", n, maxRoutes)
+		return
+	}
 	c.combined(b, s)
 	if kind == KindService {
 		c.service(b, s)
--- a/settings/resolve.go
+++ b/settings/resolve.go
@@ -55,6 +55,16 @@
 	return v
 }
 
+func (s scope) countRoutes() int {
+	n := 0
+	for key := range s {
+		if strings.HasPrefix(key, routeKeyPrefix) {
+			n++
+		}
+	}
+	return n
+}
+
 // routes returns the routes in order of prefix and method.
 func (s scope) routes() []Route {
 	var out []Route
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -125,6 +125,15 @@
 		So(Check("f", fmt.Appendf(nil, both, "y.example")).Error(), ShouldContainSubstring, `b: routes: * / with host y.example belongs to service "a" already`)
 		So(Check("f", fmt.Appendf(nil, both, "Z:80")).Error(), ShouldContainSubstring, `"Z:80" is not a name`)
 	})
+	Convey("Trees whose check would take long are refused", t, func() {
+		var routes, branches strings.Builder
+		for i := range maxBranches + 1 {
+			fmt.Fprintf(&routes, "{prefix: /%d, class: watch}, ", i)
+			fmt.Fprintf(&branches, "b%d: {}, ", i)
+		}
+		So(Check("f", []byte("routes: ["+routes.String()+"]")).Error(), ShouldEqual, "f:1:1: /: routes: 10001 routes, more than 128")
+		So(Check("f", []byte("branches: {"+branches.String()+"}")).Error(), ShouldContainSubstring, "more than 10000 branches")
+	})
 	Convey("Aliases and several documents are refused", t, func() {
 		So(Check("f", []byte("a: &x {}\nb: *x\n")).Error(), ShouldContainSubstring, "aliases are not allowed")
 		So(Check("f", []byte("{}\n---\n{}\n")).Error(), ShouldContainSubstring, "more than one YAML document")
