Relay the list of VMs only when it changed

Cause: an idle scheduler encoded and hashed the whole list four times a second; the profile of 30 s showed it as the largest of its own costs. Change: relay the list only when its time moved; longer long polls for the streams of queues, which their owners mostly write themselves.

--- a/scheduler/loops.go
+++ b/scheduler/loops.go
@@ -18,7 +18,8 @@
 	unitsEvery     = 250 * time.Millisecond // between looks at what this node owns
 	snapshotsEvery = 5 * time.Second        // between looks at whether a snapshot is due
 	decayEvery     = 30 * time.Second
-	snapshotLimit  = time.Minute // for one snapshot
+	snapshotLimit  = time.Minute     // for one snapshot
+	jobsWait       = 5 * time.Second // of a long poll for records of a queue, which its owner mostly writes itself
 )
 
 // every calls f at the interval until ctx ends.
@@ -95,9 +96,11 @@
 // runRelay publishes the newest settings and list to the entry and to peers,
 // and counts this node itself as having them in force.
 func (s *Scheduler) runRelay(ctx context.Context) error {
+	var listed time.Time
 	for ctx.Err() == nil {
 		settingsChanged, membersChanged := s.follow.Changed(), s.members.Changed()
-		s.publishToRelay()
+		listed = s.relayList(listed)
+		s.relaySettings()
 		select {
 		case <-ctx.Done():
 		case <-settingsChanged:
@@ -108,10 +111,21 @@
 	return nil
 }
 
-func (s *Scheduler) publishToRelay() {
-	if err := s.relay.SetVMs(s.members.List()); err != nil {
+// relayList publishes the list of VMs if it is newer than that of the time
+// given, and returns the time of the newest.
+func (s *Scheduler) relayList(published time.Time) time.Time {
+	list := s.members.List()
+	if !list.AsOf.After(published) {
+		return published
+	}
+	if err := s.relay.SetVMs(list); err != nil {
 		s.log.Error(err, "list of VMs not relayed")
+		return published
 	}
+	return list.AsOf
+}
+
+func (s *Scheduler) relaySettings() {
 	v := s.view()
 	if v == nil {
 		return
@@ -190,7 +204,7 @@
 // followJobs follows the stream of a queue that this node owns, and publishes
 // its snapshots.
 func (s *Scheduler) followJobs(ctx context.Context, name string, m stream.Machine) owner.Replica {
-	r := s.newReplica(name, m, nil)
+	r := stream.NewReplica(s.o.Log, name, m, stream.ReplicaOptions{Wait: jobsWait, Logger: s.log})
 	began := time.Now()
 	var work sync.WaitGroup
 	work.Go(func() { r.Run(ctx) })
