Wire the demo and the cluster scripts to the daemons

Change: peridotlock-standin demo; scripts for the whole path, take-out, kill, outage and freeze; watches are counted apart from requests.

--- a/demo/jobs.go
+++ b/demo/jobs.go
@@ -15,8 +15,10 @@
 	"github.com/peridotlock/peridotlock/standin/ledger"
 )
 
-// submitEvery is the time between two batches of jobs.
-const submitEvery = 2 * time.Second
+const (
+	submitEvery = 2 * time.Second // between two batches of jobs
+	submitLimit = 5 * time.Second // for a submission and its repetitions
+)
 
 // The outcomes of attempts in the ledger.
 const (
@@ -85,7 +87,7 @@
 	if err := os.WriteFile(file, fmt.Appendf(nil, batchJobs, n), 0o600); err != nil {
 		return err
 	}
-	list, err := s.ctl.submit(ctx, fmt.Sprintf("batch-%d", n), file)
+	list, err := s.submitFile(ctx, fmt.Sprintf("batch-%d", n), file)
 	if err != nil {
 		return err
 	}
@@ -97,6 +99,19 @@
 	return nil
 }
 
+// submitFile repeats a submission under its key while some job is refused, as
+// when its queue changes hands.
+func (s *submitter) submitFile(ctx context.Context, key, file string) ([]submission, error) {
+	deadline := time.Now().Add(submitLimit)
+	for {
+		list, err := s.ctl.submit(ctx, key, file)
+		if err == nil || time.Now().After(deadline) {
+			return list, err
+		}
+		time.Sleep(retryPause)
+	}
+}
+
 func (s *submitter) fail(err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/demo/report.go
+++ b/demo/report.go
@@ -85,11 +85,8 @@
 		if p.name != phaseOut {
 			continue
 		}
-		for _, run := range l.Runs(ledger.Filter{FailureDomain: domainOut, After: p.from.Add(startAllowance)}) {
-			if run.Start.Before(p.to) {
-				out = append(out, run)
-			}
-		}
+		late := ledger.Filter{FailureDomain: domainOut, After: p.from.Add(startAllowance), Before: p.to}
+		out = append(out, l.Runs(late)...)
 	}
 	return out
 }
@@ -106,6 +103,8 @@
 	row("requests sent", v.requests.Requests)
 	row("requests answered whole", v.requests.Outcomes[caller.Answered])
 	row("requests refused, not run", v.requests.Outcomes[caller.NotRun])
+	row("requests that no entry took", v.requests.Outcomes[caller.NotSent])
+	row("watches that told no event", v.requests.Watches-v.requests.WatchesAnswered)
 	row("requests of unknown outcome", v.requests.Outcomes[caller.Unknown])
 	row("requests lost", v.requests.Lost)
 	row("requests doubled", v.requests.Doubled)
@@ -125,6 +124,9 @@
 func (v verdict) printDetails(r *run) {
 	var lines []string
 	lines = append(lines, v.requests.Faults...)
+	for detail, n := range v.requests.Details {
+		lines = append(lines, fmt.Sprintf("%d x %s", n, detail))
+	}
 	for _, x := range v.ledger.Violations {
 		lines = append(lines, string(x.Kind)+": "+x.Detail)
 	}
--- a/scenario/daemon.go
+++ b/scenario/daemon.go
@@ -40,7 +40,7 @@
 
 func processOf(ts *testscript.TestScript, args []string) (*process, error) {
 	if len(args) != 1 {
-		return nil, usage("freeze, thaw, kill or terminate NAME")
+		return nil, usage("freeze, thaw, kill, terminate or wait NAME")
 	}
 	p, ok := stateOf(ts).processes[args[0]]
 	if !ok {
@@ -85,6 +85,18 @@
 	return p.terminate()
 }
 
+// wait waits until a program has ended and expects it to succeed: wait NAME.
+func wait(ts *testscript.TestScript, args []string) error {
+	p, err := processOf(ts, args)
+	if err != nil {
+		return err
+	}
+	if err := p.wait(); err != nil {
+		return fmt.Errorf("%w\n%s", err, tail(ts.MkAbs(args[0]+".out")))
+	}
+	return nil
+}
+
 // ready waits until a daemon's URL answers 200: ready NAME URL.
 func ready(ts *testscript.TestScript, args []string) error {
 	if len(args) != 2 {
--- a/scenario/ports.go
+++ b/scenario/ports.go
@@ -14,8 +14,13 @@
 	"C_CALLERS", "C_ENTRY", "C_CONTROL", "C_OPERATORS",
 }
 
+func readyURL(env *testscript.Env, name string) string {
+	return "http://" + env.Getenv(name) + "/readyz"
+}
+
 // reservePorts sets the variables to addresses that were free just now. All
-// are held open until the last is known, so that no two are alike.
+// are held open until the last is known, so that no two are alike. SERVERS,
+// ENTRIES and READY list those of all three entry VMs.
 func reservePorts(env *testscript.Env) error {
 	for _, name := range addressNames {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -25,5 +30,8 @@
 		defer l.Close()
 		env.Setenv(name, l.Addr().String())
 	}
+	env.Setenv("SERVERS", env.Getenv("A_OPERATORS")+","+env.Getenv("B_OPERATORS")+","+env.Getenv("C_OPERATORS"))
+	env.Setenv("ENTRIES", env.Getenv("A_CALLERS")+","+env.Getenv("B_CALLERS")+","+env.Getenv("C_CALLERS"))
+	env.Setenv("READY", readyURL(env, "A_ENTRY")+","+readyURL(env, "B_ENTRY")+","+readyURL(env, "C_ENTRY"))
 	return nil
 }
--- a/scenario/scenario.go
+++ b/scenario/scenario.go
@@ -46,6 +46,8 @@
 		"thaw":      thaw,
 		"kill":      kill,
 		"terminate": terminate,
+		"wait":      wait,
+		"cluster":   startCluster,
 		"ready":     ready,
 		"fault":     setFault,
 		"vm":        setVM,
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -10,6 +10,9 @@
 
 	"github.com/rogpeppe/go-internal/testscript"
 
+	"github.com/peridotlock/peridotlock/daemon/ctl"
+	"github.com/peridotlock/peridotlock/daemon/entry"
+	"github.com/peridotlock/peridotlock/daemon/scheduler"
 	"github.com/peridotlock/peridotlock/daemon/standin"
 )
 
@@ -18,7 +21,10 @@
 
 // daemons are the programs that scripts may run.
 var daemons = map[string]daemon{
-	"peridotlock-standin": standin.Run,
+	"peridotctl":            ctl.Run,
+	"peridotlock-entry":     entry.Run,
+	"peridotlock-scheduler": scheduler.Run,
+	"peridotlock-standin":   standin.Run,
 }
 
 func TestMain(m *testing.M) {
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -24,6 +24,7 @@
 type Shape struct {
 	Class  fleet.RequestClass
 	Method string
+	Host   string // Host header; empty for the entry's address
 	Path   string
 	Weight int // share among the shapes
 	Bytes  int // size of the answer
--- a/standin/caller/exchange.go
+++ b/standin/caller/exchange.go
@@ -65,6 +65,7 @@
 	if err != nil {
 		return nil, err
 	}
+	req.Host = s.Host
 	req.Header.Set(executor.HeaderRequestID, id)
 	req.Header.Set(deadlineKey, strconv.FormatInt(c.opts.Deadline.Milliseconds(), 10))
 	if s.Class == fleet.Watch {
--- a/standin/caller/summary.go
+++ b/standin/caller/summary.go
@@ -27,17 +27,19 @@
 
 // Summary counts the outcomes of requests. Watches have no latency.
 type Summary struct {
-	Requests    int             `json:"requests"`
-	Outcomes    map[Outcome]int `json:"outcomes"`
-	Lost        int             `json:"lost"`        // never answered
-	Doubled     int             `json:"doubled"`     // non-idempotent, executed more than once
-	Misreported int             `json:"misreported"` // answered wrongly, or not as the ledger says
-	P50         time.Duration   `json:"p50_ns"`
-	P99         time.Duration   `json:"p99_ns"`
-	P999        time.Duration   `json:"p999_ns"`
-	Worst       time.Duration   `json:"worst_ns"`
-	Faults      []string        `json:"faults"` // the first ones, in words
-	Details     map[string]int  `json:"details"`
+	Requests        int             `json:"requests"` // without watches
+	Outcomes        map[Outcome]int `json:"outcomes"` // of those
+	Watches         int             `json:"watches"`
+	WatchesAnswered int             `json:"watches_answered"` // told an event of their own
+	Lost            int             `json:"lost"`             // never answered
+	Doubled         int             `json:"doubled"`          // non-idempotent, executed more than once
+	Misreported     int             `json:"misreported"`      // answered wrongly, or not as the ledger says
+	P50             time.Duration   `json:"p50_ns"`
+	P99             time.Duration   `json:"p99_ns"`
+	P999            time.Duration   `json:"p999_ns"`
+	Worst           time.Duration   `json:"worst_ns"`
+	Faults          []string        `json:"faults"` // the first ones, in words
+	Details         map[string]int  `json:"details"`
 }
 
 // IsSound reports whether nothing was lost, doubled or misreported.
@@ -82,8 +84,7 @@
 }
 
 func (s *Summary) add(r result, executions int) {
-	s.Requests++
-	s.Outcomes[r.outcome]++
+	s.count(r)
 	if r.detail != "" && len(s.Details) < maxFaults {
 		s.Details[r.detail]++
 	}
@@ -101,6 +102,18 @@
 	}
 }
 
+func (s *Summary) count(r result) {
+	if r.class != fleet.Watch {
+		s.Requests++
+		s.Outcomes[r.outcome]++
+		return
+	}
+	s.Watches++
+	if r.outcome == Answered {
+		s.WatchesAnswered++
+	}
+}
+
 // misreport holds what the caller was told against what the ledger says.
 func misreport(r result, executions int) string {
 	switch {
--- a/standin/ledger/query.go
+++ b/standin/ledger/query.go
@@ -11,6 +11,8 @@
 	Task          string
 	FailureDomain fleet.Path
 	After         time.Time // started after
+	Before        time.Time // started before
+	Running       bool      // not ended yet
 }
 
 // Summary counts what the ledger holds.
@@ -83,6 +85,9 @@
 	if f.Task != "" && f.Task != r.Task {
 		return false
 	}
+	if f.Running && !r.End.IsZero() || !f.Before.IsZero() && !r.Start.Before(f.Before) {
+		return false
+	}
 	return f.FailureDomain.Contains(r.FailureDomain) && r.Start.After(f.After)
 }
 
