Prove the whole path, take-out and kills from outside

Cause: the scripts had not been run. Ruled out: command names that the script language has itself (wait, kill).

--- a/scenario/daemon.go
+++ b/scenario/daemon.go
@@ -40,7 +40,7 @@
 
 func processOf(ts *testscript.TestScript, args []string) (*process, error) {
 	if len(args) != 1 {
-		return nil, usage("freeze, thaw, kill, terminate or wait NAME")
+		return nil, usage("freeze, thaw, crash, terminate or await NAME")
 	}
 	p, ok := stateOf(ts).processes[args[0]]
 	if !ok {
@@ -67,8 +67,8 @@
 	return p.signal(syscall.SIGCONT)
 }
 
-// kill ends a daemon at once: kill NAME.
-func kill(ts *testscript.TestScript, args []string) error {
+// crash ends a daemon at once: crash NAME.
+func crash(ts *testscript.TestScript, args []string) error {
 	p, err := processOf(ts, args)
 	if err != nil {
 		return err
@@ -85,8 +85,8 @@
 	return p.terminate()
 }
 
-// wait waits until a program has ended and expects it to succeed: wait NAME.
-func wait(ts *testscript.TestScript, args []string) error {
+// await waits until a program has ended and expects it to succeed: await NAME.
+func await(ts *testscript.TestScript, args []string) error {
 	p, err := processOf(ts, args)
 	if err != nil {
 		return err
