--- a/entry/admit/lines.go
+++ b/entry/admit/lines.go
@@ -66,7 +66,9 @@
 	}
 }
 
-// ahead returns how many waiters are served before a new one of caller.
+// ahead estimates how many waiters are served before a new one of caller: half
+// way between those that wait now and those that wait if the others keep their
+// lines filled.
 func (s *lines) ahead(caller string) int {
 	own := 0
 	if l := s.byCaller[caller]; l != nil {
@@ -76,7 +78,7 @@
 	for _, l := range s.ring {
 		n += min(len(l.waiters), own+1)
 	}
-	return n
+	return (n + own*len(s.ring)) / 2
 }
 
 // victim returns the waiter to give up: of the longest line the idempotent one
--- a/entry/admit/queue.go
+++ b/entry/admit/queue.go
@@ -17,6 +17,10 @@
 // ErrShed says that the request was given up before any byte was sent.
 var ErrShed = errors.New("shed by admission")
 
+// maxWaitShare is the part of the spare time that may be spent waiting by
+// expectation. Expectations fail, and a standing queue helps no throughput.
+const maxWaitShare = 0.5
+
 // Waiter is a request that waits for a slot.
 type Waiter struct {
 	Caller   string
@@ -110,6 +114,19 @@
 	return q.expected(caller)
 }
 
+// Admits reports whether a new request of caller can be expected to be
+// answered before the deadline.
+func (q *Queue) Admits(caller string, deadline time.Time) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.admits(caller, deadline)
+}
+
+func (q *Queue) admits(caller string, deadline time.Time) bool {
+	spare := time.Until(deadline) - q.set.Latency.Mean()
+	return float64(q.expected(caller)) <= maxWaitShare*float64(spare)
+}
+
 func (q *Queue) expected(caller string) time.Duration {
 	ahead := q.lines.ahead(caller) + 1
 	slots := max(1, q.set.Slots())
@@ -121,8 +138,7 @@
 func (q *Queue) push(w *Waiter, limit int) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	answer := time.Now().Add(q.expected(w.Caller) + q.set.Latency.Mean())
-	if answer.After(w.Deadline) {
+	if !q.admits(w.Caller, w.Deadline) {
 		return false
 	}
 	q.lines.add(w)
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"net/url"
@@ -163,8 +164,17 @@
 }
 
 func (c *call) fail(slot *balance.Slot, err error) {
-	if c.service.set.Fail(slot.Endpoint, time.Now()) {
-		c.ejected(slot.Endpoint, "failing")
+	e, now := slot.Endpoint, time.Now()
+	var known *pool.Error
+	switch {
+	case errors.As(err, &known) && known.Fault == pool.FaultFull:
+		e.Health.EndProbe()
+	case errors.As(err, &known) && known.Fault == pool.FaultConnect:
+		if c.service.set.FailConnect(e, now) {
+			c.ejected(e, "unreachable")
+		}
+	case c.service.set.Fail(e, now):
+		c.ejected(e, "failing")
 	}
 	if err != nil {
 		c.entry.options.Log.V(1).Info("attempt failed", "endpoint", slot.Endpoint.ID, "class", c.class, "error", err.Error())
--- a/entry/balance/verdict.go
+++ b/entry/balance/verdict.go
@@ -30,6 +30,15 @@
 	return e.Health.Fail(now) && s.eject(e, now)
 }
 
+// FailConnect records that e took no connection, which needs no second sign.
+func (s *Set) FailConnect(e *Endpoint, now time.Time) bool {
+	if e.Health.IsEjected() {
+		e.Health.Eject(now)
+		return false
+	}
+	return s.eject(e, now)
+}
+
 // EjectSlow ejects e when its latency is far above that of the set. It reports
 // whether e was ejected.
 func (s *Set) EjectSlow(e *Endpoint, now time.Time) bool {
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -14,6 +14,9 @@
 	"github.com/peridotlock/peridotlock/fleet"
 )
 
+// maxUnsent bounds the attempts of a request of which nothing was written.
+const maxUnsent = 16
+
 // forwarder sends the request to an endpoint and the answer to the caller.
 type forwarder struct{}
 
@@ -38,7 +41,7 @@
 	ctx := context.WithoutCancel(c.r.Context())
 	var avoid *balance.Endpoint
 	var err error
-	for range max(1, c.policy.MaxAttempts) {
+	for range maxUnsent {
 		slot, problem := c.admit(avoid)
 		if problem != nil {
 			return problem
@@ -112,8 +115,7 @@
 	if remote == 0 {
 		return nil
 	}
-	mean := c.service.set.Latency.Mean()
-	if local > 0 && c.service.queue.Expected(c.caller)+mean < c.remaining() {
+	if local > 0 && c.service.queue.Admits(c.caller, c.deadline) {
 		return nil
 	}
 	return &balance.Toll{Link: &c.entry.link, Bytes: c.service.expectedBytes(), Rate: c.policy.LinkBytes}
--- a/entry/race.go
+++ b/entry/race.go
@@ -30,6 +30,7 @@
 	won     atomic.Bool
 	pending int
 	made    int
+	unsent  int // attempts of which nothing was written
 	last    *balance.Endpoint
 	failed  result // last attempt without a good answer
 	written bool   // some attempt may have reached an endpoint
@@ -57,7 +58,7 @@
 		ctx:     ctx,
 		cancel:  cancel,
 		budget:  c.entry.budgets.Of(c.caller, c.service.path),
-		results: make(chan result, max(1, c.policy.MaxAttempts)),
+		results: make(chan result, maxUnsent+max(1, c.policy.MaxAttempts)),
 	}
 	r.budget.Deposit(c.policy.RetryBudget)
 	defer r.finish()
@@ -149,7 +150,7 @@
 
 // hedge makes another attempt beside the slow ones when a slot is free.
 func (r *race) hedge() {
-	if r.made >= r.call.policy.MaxAttempts || r.pending == 0 {
+	if r.made-r.unsent >= r.call.policy.MaxAttempts || r.pending == 0 {
 		return
 	}
 	slot := r.call.service.queue.TryAcquire(balance.Choice{Now: time.Now(), Avoid: r.last})
@@ -177,7 +178,7 @@
 	if r.pending > 0 {
 		return nil, false
 	}
-	if r.made >= r.call.policy.MaxAttempts || !r.mayRetry() {
+	if !r.mayRetry() {
 		return r.giveUp(), true
 	}
 	slot, problem := r.call.admit(r.last)
@@ -191,9 +192,10 @@
 
 func (r *race) mayRetry() bool {
 	if r.failed.err != nil && !isWritten(r.failed.err) {
-		return true
+		r.unsent++
+		return r.unsent < maxUnsent
 	}
-	return r.budget.Withdraw()
+	return r.made-r.unsent < r.call.policy.MaxAttempts && r.budget.Withdraw()
 }
 
 // giveUp passes on the endpoint's own error answer, if any.
--- a/load/client.go
+++ b/load/client.go
@@ -19,6 +19,9 @@
 	NonIdempotentPath = "/records"
 )
 
+// maxCallerConns bounds the open connections of all callers to one entry.
+const maxCallerConns = 1000
+
 // answerGrace is how long after the deadline a caller still waits.
 const answerGrace = 2 * time.Second
 
@@ -30,7 +33,7 @@
 
 // NewClient returns a client whose requests carry the given deadline.
 func NewClient(deadline time.Duration) *Client {
-	t := &http.Transport{MaxIdleConnsPerHost: 1 << 14, DisableCompression: true}
+	t := &http.Transport{MaxIdleConnsPerHost: maxCallerConns, MaxConnsPerHost: maxCallerConns, DisableCompression: true}
 	return &Client{http: &http.Client{Transport: t}, deadline: deadline}
 }
 
