--- a/stream/applier.go
+++ b/stream/applier.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -56,6 +57,9 @@
 }
 
 func (a *applier) applyEntry(r platform.Record) bool {
+	if !utf8.ValidString(r.ID) {
+		return false // machines could not keep the id in a snapshot
+	}
 	entry := entryID(r.ID)
 	if a.seen.has(seenVoid, r.ID) || a.seen.has(seenApplied, entry) {
 		return false
--- a/stream/id.go
+++ b/stream/id.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"unicode/utf8"
 )
 
 const (
@@ -61,7 +62,7 @@
 
 func checkEntry(e Entry) error {
 	reserved := strings.HasPrefix(e.ID, reservedPrefix) && !strings.HasPrefix(e.ID, snapshotPrefix)
-	if e.ID == "" || reserved || strings.Contains(e.ID, attemptMark) {
+	if e.ID == "" || !utf8.ValidString(e.ID) || reserved || strings.Contains(e.ID, attemptMark) {
 		return fmt.Errorf("%w: id %q", ErrInvalidEntry, e.ID)
 	}
 	if len(e.Data) > maxRecordBytes {
