--- a/membership/gossip.go
+++ b/membership/gossip.go
@@ -47,17 +47,21 @@
 	}
 }
 
-// Target returns the member to probe next: by turns the next one on the ring
-// and one chosen by random, which is any number. Each member is thus probed by
-// few others, whatever the number of members. It returns false if there is none.
+// Target returns the member to probe next: one that this node suspects, or by
+// turns the next one on the ring and one chosen by random, which is any number.
+// Each member is thus probed by few others, whatever the number of members. It
+// returns false if there is none.
 func (t *Table) Target(random int) (Member, bool) {
 	ring := t.probed()
 	n := len(ring)
 	if n < 2 {
 		return Member{}, false
 	}
-	self := slices.Index(ring, t.self)
 	t.turn++
+	if id, ok := t.accusedOne(ring); ok && t.turn%4 != 0 {
+		return t.members[id].view(), true
+	}
+	self := slices.Index(ring, t.self)
 	step := 1
 	if t.turn%2 == 0 {
 		step = 1 + abs(random)%(n-1)
@@ -65,6 +69,15 @@
 	return t.members[ring[(self+step)%n]].view(), true
 }
 
+func (t *Table) accusedOne(ring []string) (string, bool) {
+	for _, id := range ring {
+		if t.members[id].accused {
+			return id, true
+		}
+	}
+	return "", false
+}
+
 // probed returns the ids of all members that are not dead, with this node among
 // them, by failure domain, so that most neighbours are near.
 func (t *Table) probed() []string {
--- a/membership/prober.go
+++ b/membership/prober.go
@@ -23,6 +23,19 @@
 // ListFunc returns the platform's list, or a peer's copy of it.
 type ListFunc func(ctx context.Context) (platform.VMSnapshot, error)
 
+// Transport calls a method of the peer at addr; PoolTransport is one.
+type Transport interface {
+	Call(ctx context.Context, addr, method string, args, reply any) error
+}
+
+// PoolTransport calls peers over net/rpc.
+type PoolTransport struct{ Pool *wire.Pool }
+
+// Call implements Transport.
+func (t PoolTransport) Call(ctx context.Context, addr, method string, args, reply any) error {
+	return t.Pool.Client(addr).Call(ctx, method, args, reply)
+}
+
 // ProberOptions adjusts a Prober; zero values stand for defaults.
 type ProberOptions struct {
 	Options
@@ -33,10 +46,10 @@
 
 // Prober keeps a Table up to date.
 type Prober struct {
-	list  ListFunc
-	pool  *wire.Pool
-	o     ProberOptions
-	table guarded
+	list      ListFunc
+	transport Transport
+	o         ProberOptions
+	table     guarded
 
 	mu      sync.Mutex // protects changed
 	changed chan struct{}
@@ -45,7 +58,7 @@
 }
 
 // NewProber returns a prober of the node self, which works while Run runs.
-func NewProber(self Update, list ListFunc, pool *wire.Pool, o ProberOptions) *Prober {
+func NewProber(self Update, list ListFunc, transport Transport, o ProberOptions) *Prober {
 	if o.ProbeEvery <= 0 {
 		o.ProbeEvery = defaultProbeEvery
 	}
@@ -59,11 +72,11 @@
 		self.Incarnation = uint64(time.Now().UnixMilli())
 	}
 	return &Prober{
-		list:    list,
-		pool:    pool,
-		o:       o,
-		table:   guarded{table: NewTable(self, o.Options, time.Now())},
-		changed: make(chan struct{}),
+		list:      list,
+		transport: transport,
+		o:         o,
+		table:     guarded{table: NewTable(self, o.Options, time.Now())},
+		changed:   make(chan struct{}),
 	}
 }
 
@@ -179,7 +192,7 @@
 	self := p.selfID()
 	var reply ConfirmReply
 	args := ConfirmArgs{From: self, Target: target.update()}
-	if err := p.pool.Client(helper.Control).Call(ctx, ServiceName+".Confirm", args, &reply); err != nil {
+	if err := p.transport.Call(ctx, helper.Control, ServiceName+".Confirm", args, &reply); err != nil {
 		return ConfirmReply{}, err
 	}
 	p.table.do(func(t *Table, now time.Time) { t.Apply(reply.Updates, now) })
@@ -194,7 +207,7 @@
 	defer cancel()
 	var reply ProbeReply
 	args := ProbeArgs{From: p.selfID(), Updates: p.exchange(id, nil)}
-	if err := p.pool.Client(addr).Call(ctx, ServiceName+".Probe", args, &reply); err != nil {
+	if err := p.transport.Call(ctx, addr, ServiceName+".Probe", args, &reply); err != nil {
 		return err
 	}
 	p.table.do(func(t *Table, now time.Time) { t.Apply(reply.Updates, now) })
--- a/membership/table.go
+++ b/membership/table.go
@@ -15,6 +15,10 @@
 	deadKept          = 10 * time.Minute // before a dead member is forgotten
 	updateRounds      = 12               // messages that carry an update
 	maxDeadShare      = 0.5              // of the members that probes alone may declare dead
+	othersFactor      = 3                // by which a suspicion of another node waits longer
+	probationBase     = 10 * time.Second // after the first return from the dead
+	probationMax      = 5 * time.Minute
+	returnsKept       = 15 * time.Minute // without a return, earlier ones are forgotten
 )
 
 // Options adjusts a Table; zero values stand for defaults.
@@ -42,6 +46,8 @@
 	Member
 	listed  bool // in the newest list
 	leaving bool // so said by the list
+	accused bool // this node raised the suspicion
+	returns int  // from the dead
 }
 
 // NewTable returns a table that knows self alone. Self's Incarnation must be
@@ -97,6 +103,20 @@
 	return m
 }
 
+// comeBack starts a probation that doubles with each return, so that a node
+// that keeps vanishing moves no units each time.
+func (e *entry) comeBack(now time.Time) {
+	if now.Sub(e.Probation) > returnsKept {
+		e.returns = 0
+	}
+	wait := probationMax
+	if e.returns < 5 {
+		wait = min(wait, probationBase<<e.returns)
+	}
+	e.returns++
+	e.Probation = now.Add(wait)
+}
+
 // Leave marks this node as leaving.
 func (t *Table) Leave(now time.Time) {
 	e := t.members[t.self]
@@ -136,13 +156,13 @@
 		u := Update{ID: vm.ID, FailureDomain: vm.FailureDomain, Control: vm.Control, State: Live}
 		e = &entry{Member: member(u, now)}
 		t.members[vm.ID] = e
-		t.changed(vm.ID)
+		t.noteChange()
 	}
 	e.listed = true
 	leaving := vm.State == platform.VMLeaving
 	if e.leaving != leaving {
 		e.leaving = leaving
-		t.changed(vm.ID)
+		t.noteChange()
 	}
 }
 
@@ -191,8 +211,9 @@
 
 // Suspect notes that a member did not answer, as confirmed by another one.
 func (t *Table) Suspect(id string, now time.Time) {
-	if e, ok := t.members[id]; ok {
+	if e, ok := t.members[id]; ok && e.State < Suspect && id != t.self {
 		t.suspect(e, now)
+		e.accused = true
 	}
 }
 
@@ -208,17 +229,25 @@
 	for _, id := range slices.Sorted(maps.Keys(t.members)) {
 		e := t.members[id]
 		switch {
-		case e.State == Suspect && now.Sub(e.Since) >= t.o.SuspectFor && t.mayDie(e):
+		case e.State == Suspect && now.Sub(e.Since) >= t.suspectFor(e) && t.mayDie(e):
 			t.set(e, Dead, now)
 		case e.State == Dead && !e.listed && now.Sub(e.Since) >= deadKept:
 			delete(t.members, id)
 			delete(t.rumors, id)
-			t.changes++
-			t.ring = nil
+			t.noteChange()
 		}
 	}
 }
 
+// suspectFor returns how long a suspicion lasts. Others leave the node that
+// raised it the time to tell how it ended.
+func (t *Table) suspectFor(e *entry) time.Duration {
+	if e.accused {
+		return t.o.SuspectFor
+	}
+	return othersFactor * t.o.SuspectFor
+}
+
 // mayDie bounds how many members die without the list saying so: if most seem
 // gone, it is more likely that this node is cut off.
 func (t *Table) mayDie(e *entry) bool {
@@ -235,13 +264,22 @@
 }
 
 func (t *Table) set(e *entry, s State, now time.Time) {
+	if e.State == Dead && s < Suspect {
+		e.comeBack(now)
+	}
 	e.State = s
 	e.Since = now
+	e.accused = false
 	t.changed(e.ID)
 }
 
+// changed notes a change that peers should hear of.
 func (t *Table) changed(id string) {
-	t.changes++
 	t.rumors[id] = updateRounds
+	t.noteChange()
+}
+
+func (t *Table) noteChange() {
+	t.changes++
 	t.ring = nil
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -85,7 +85,7 @@
 	s.follow = s.newReplica(stream.SettingsStream, s.settings, s.peer)
 	s.ownership = s.newReplica(stream.OwnershipStream, s.claims, s.peer)
 	self := membership.Update{ID: s.o.Node.Name, FailureDomain: s.o.Node.FailureDomain, Control: s.o.Node.Control}
-	s.members = membership.NewProber(self, s.o.VMs.VMs, s.pool, membership.ProberOptions{
+	s.members = membership.NewProber(self, s.o.VMs.VMs, membership.PoolTransport{Pool: s.pool}, membership.ProberOptions{
 		Options: membership.Options{Region: s.region},
 		Logger:  s.log,
 	})
