--- a/daemon/ctl/settings.go
+++ b/daemon/ctl/settings.go
@@ -21,6 +21,7 @@
 	Diff    diffCommand    `cmd:"" help:"Compare the document of a branch with a file or a former revision."`
 	Edit    editCommand    `cmd:"" help:"Change single keys of a branch."`
 	Revert  revertCommand  `cmd:"" help:"Give a branch the document of a former revision, as a new revision."`
+	Keys    keysCommand    `cmd:"" help:"List the keys of a branch with their bounds and defaults."`
 }
 
 type checkCommand struct {
@@ -169,6 +170,18 @@
 	})
 }
 
+type keysCommand struct{}
+
+// Run prints the keys.
+func (c *keysCommand) Run(s *session) error {
+	list := settings.Keys()
+	return s.out.table(list, "KEY\tON\tALLOWED\tDEFAULT", func(w io.Writer) {
+		for _, k := range list {
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\n", k.Name, k.On, k.Allowed, k.Default)
+		}
+	})
+}
+
 type revertCommand struct {
 	editFlags
 	Branch   string `arg:"" help:"Path of the branch; / for the whole tree."`
--- a/settings/field.go
+++ b/settings/field.go
@@ -30,6 +30,7 @@
 	parse func(text string) (any, error)
 	apply func(v *values, parsed any) // nil when the value isn't inherited
 	text  func(v values) string       // nil when there is no default
+	bound string                      // what values are allowed
 }
 
 var errNotTrueOrFalse = errors.New("is neither true nor false")
@@ -46,7 +47,7 @@
 		return d, nil
 	}
 	apply := func(v *values, parsed any) { *target(v) = parsed.(time.Duration) }
-	return field{key: key, on: on, parse: parse, apply: apply, text: textOf(target)}
+	return field{key: key, on: on, parse: parse, apply: apply, text: textOf(target), bound: bounds(low, high)}
 }
 
 func integerField[T int | int64](key string, on []Kind, low, high T, target func(*values) *T) field {
@@ -61,7 +62,7 @@
 		return T(n), nil
 	}
 	apply := func(v *values, parsed any) { *target(v) = parsed.(T) }
-	return field{key: key, on: on, parse: parse, apply: apply, text: textOf(target)}
+	return field{key: key, on: on, parse: parse, apply: apply, text: textOf(target), bound: bounds(low, high)}
 }
 
 func numberField(key string, on []Kind, low, high float64, target func(*values) *float64) field {
@@ -76,9 +77,11 @@
 		return f, nil
 	}
 	apply := func(v *values, parsed any) { *target(v) = parsed.(float64) }
-	return field{key: key, on: on, parse: parse, apply: apply, text: textOf(target)}
+	return field{key: key, on: on, parse: parse, apply: apply, text: textOf(target), bound: bounds(low, high)}
 }
 
+func bounds(low, high any) string { return fmt.Sprintf("%v to %v", low, high) }
+
 // textOf returns a function that prints the target of a field.
 func textOf[T any](target func(*values) *T) func(values) string {
 	return func(v values) string { return fmt.Sprint(*target(&v)) }
--- a/settings/schema.go
+++ b/settings/schema.go
@@ -32,8 +32,8 @@
 
 // schema lists all scalar fields.
 var schema = []field{
-	{key: keyKind, on: onAny, parse: parseKind},
-	{key: keyOut, on: onDomain, parse: parseBool},
+	{key: keyKind, on: onAny, parse: parseKind, bound: "organisation, region, failure-domain, rack, service, team"},
+	{key: keyOut, on: onDomain, parse: parseBool, bound: "true, false"},
 
 	durationField("policy.requests.deadline", onAny, time.Millisecond, time.Hour, func(v *values) *time.Duration { return &v.policy.Requests.Deadline }),
 	integerField("policy.requests.queue-limit", onAny, 1, maxCount, func(v *values) *int { return &v.policy.Requests.QueueLimit }),
