--- a/settings/generate_test.go
+++ b/settings/generate_test.go
@@ -127,4 +127,3 @@
 	_, ok := f.facts[fact{path.Parent(), childKeyPrefix + path.Name()}]
 	return ok
 }
-
