--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -39,6 +39,8 @@
 	leastDeadline = time.Millisecond
 )
 
+var errStillSilent = errors.New("silent again on fresh connections")
+
 // attempt makes one exchange with the endpoint of slot and records the verdict
 // on the endpoint. The caller releases the slot.
 func (c *call) attempt(ctx context.Context, slot *balance.Slot, kind attemptKind) (*pool.Answer, error) {
@@ -111,6 +113,9 @@
 func (c *call) suspect(slot *balance.Slot) {
 	e := slot.Endpoint
 	e.Pool.Probe(func(err error) {
+		if err == nil && !e.Health.Renew() {
+			err = errStillSilent
+		}
 		if err != nil {
 			c.fail(slot, err)
 			return
@@ -129,7 +134,7 @@
 		c.chargeLink(a)
 	}
 	switch {
-	case ctx.Err() != nil:
+	case err != nil && !c.blames(ctx, err, took):
 		e.Health.EndProbe()
 	case err != nil:
 		c.fail(slot, err)
@@ -144,6 +149,19 @@
 	}
 }
 
+// blames reports whether a failed attempt tells against the endpoint: not when
+// it was dropped, had little time, or its connection was retired.
+func (c *call) blames(ctx context.Context, err error, took time.Duration) bool {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return false
+	}
+	var e *pool.Error
+	if !errors.As(err, &e) || (e.Fault != pool.FaultSilent && e.Fault != pool.FaultCanceled) {
+		return true
+	}
+	return !e.Retired && took > c.silence()
+}
+
 // credit records a good answer. Watches teach no latency.
 func (c *call) credit(e *balance.Endpoint, took time.Duration, now time.Time) {
 	if c.service.set.Succeed(e) {
--- a/entry/balance/health.go
+++ b/entry/balance/health.go
@@ -16,6 +16,7 @@
 // Health tells whether an endpoint may get work. Times are nanoseconds.
 type Health struct {
 	failures  atomic.Int32 // in a row
+	renewals  atomic.Int32 // of the connection pool since the last success
 	ejections atomic.Int32 // since the last success
 	ejected   atomic.Int64 // until; 0 when not ejected
 	leaving   atomic.Int64 // until
@@ -27,6 +28,9 @@
 	if h.failures.Load() != 0 {
 		h.failures.Store(0)
 	}
+	if h.renewals.Load() != 0 {
+		h.renewals.Store(0)
+	}
 	if h.ejected.Load() == 0 {
 		return false
 	}
@@ -45,6 +49,11 @@
 	return h.failures.Add(1) >= ejectAfter
 }
 
+// Renew records that the connections were renewed after a silence. It reports
+// whether that was the first time since the last success: only then is the
+// silence put down to the connections.
+func (h *Health) Renew() bool { return h.renewals.Add(1) == 1 }
+
 // Eject takes the endpoint out for a time that doubles with each ejection.
 func (h *Health) Eject(now time.Time) {
 	n := min(h.ejections.Add(1)-1, maxDoublings)
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -38,7 +38,8 @@
 // once sends a non-idempotent request. Another endpoint is tried only when not
 // a byte of it was written.
 func (c *call) once() *answer.Problem {
-	ctx := context.WithoutCancel(c.r.Context())
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(c.r.Context()), c.deadline)
+	defer cancel()
 	var avoid *balance.Endpoint
 	var err error
 	for range maxUnsent {
--- a/entry/pool/error.go
+++ b/entry/pool/error.go
@@ -20,6 +20,7 @@
 type Error struct {
 	Fault   Fault
 	Written bool
+	Retired bool // the connection was retired meanwhile
 	Err     error
 }
 
--- a/entry/pool/exchange.go
+++ b/entry/pool/exchange.go
@@ -59,7 +59,9 @@
 	if err != nil {
 		stop()
 		p.discard(c)
-		return nil, x.classify(ctx, c, err)
+		e := x.classify(ctx, c, err)
+		e.Retired = p.isRetired(c)
+		return nil, e
 	}
 	return a, nil
 }
@@ -159,7 +161,7 @@
 	return nil
 }
 
-func (x *Exchange) classify(ctx context.Context, c *conn, err error) error {
+func (x *Exchange) classify(ctx context.Context, c *conn, err error) *Error {
 	e := &Error{Fault: FaultCut, Err: err}
 	var known *Error
 	switch {
--- a/entry/pool/pool.go
+++ b/entry/pool/pool.go
@@ -85,6 +85,9 @@
 	c, err := dialer.DialContext(ctx, "tcp", p.addr)
 	if err != nil {
 		p.open.Add(-1)
+		if ctx.Err() != nil {
+			return nil, &Error{Fault: FaultCanceled, Err: err}
+		}
 		return nil, &Error{Fault: FaultConnect, Err: err}
 	}
 	return newConn(c, generation), nil
@@ -104,6 +107,12 @@
 	}
 }
 
+func (p *Pool) isRetired(c *conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return c.generation != p.generation
+}
+
 func (p *Pool) discard(c *conn) {
 	c.Close()
 	p.open.Add(-1)
--- a/load/site.go
+++ b/load/site.go
@@ -137,7 +137,7 @@
 		return n
 	}
 	e := entry.New(entry.Options{
-		Name: entryName(i), FailureDomain: domainOne, Log: logr.Discard(), Tracer: noop.NewTracerProvider().Tracer(""),
+		Name: entryName(i), FailureDomain: homeDomain(i), Log: logr.Discard(), Tracer: noop.NewTracerProvider().Tracer(""),
 	})
 	e.Apply(source.Snapshot{View: s.view(), VMs: s.vms()})
 	s.Entries = append(s.Entries, e)
@@ -179,7 +179,7 @@
 func (s *Site) vms() []platform.VM {
 	var vms []platform.VM
 	for i := range s.Options.Entries {
-		vms = append(vms, platform.VM{ID: entryName(i), Kind: platform.KindEntry, State: platform.VMLive, FailureDomain: domainOne})
+		vms = append(vms, platform.VM{ID: entryName(i), Kind: platform.KindEntry, State: platform.VMLive, FailureDomain: homeDomain(i)})
 	}
 	for i, e := range s.Endpoints {
 		vms = append(vms, platform.VM{
@@ -191,10 +191,15 @@
 }
 
 func (s *Site) domainOf(i int) fleet.Path {
-	switch {
-	case i >= s.Options.Endpoints:
+	if i >= s.Options.Endpoints {
 		return domainAway
-	case i%2 == 0:
+	}
+	return homeDomain(i)
+}
+
+// homeDomain spreads the VMs of the entries' region over its failure domains.
+func homeDomain(i int) fleet.Path {
+	if i%2 == 0 {
 		return domainOne
 	}
 	return domainTwo
