--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -64,7 +64,7 @@
 
 // exchange builds the attempt. Its request has no way to be sent twice.
 func (c *call) exchange(ctx context.Context, id string) *pool.Exchange {
-	return &pool.Exchange{
+	x := &pool.Exchange{
 		Request:     c.outbound(ctx, id),
 		RequestID:   id,
 		IDHeader:    AttemptHeader,
@@ -75,6 +75,11 @@
 		HeaderBytes: c.policy.MaxHeaderBytes,
 		BufferBytes: c.policy.BufferBytes,
 	}
+	if c.class == fleet.Watch {
+		x.Final = time.Time{}
+		x.BufferBytes = 0
+	}
+	return x
 }
 
 // silence is the time to the first byte of an answer after which the
