--- a/settings/check.go
+++ b/settings/check.go
@@ -12,8 +12,8 @@
 // checker holds a composed tree against the rules that span branches.
 type checker struct {
 	branches int
-	found  finding.List
-	routed map[hostRoute]fleet.Path // service that has the route
+	found    finding.List
+	routed   map[hostRoute]fleet.Path // service that has the route
 }
 
 // checkTree returns what is wrong with the tree as a whole.
