Measure the time from an edit to its being in force

Cause: the users ask for it with and without faults of the log, and the client did not say how long it took.

--- a/daemon/ctl/publish.go
+++ b/daemon/ctl/publish.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/peridotlock/peridotlock/api/command"
+	"github.com/peridotlock/peridotlock/api/problem"
 	"github.com/peridotlock/peridotlock/api/query"
 	"github.com/peridotlock/peridotlock/finding"
 	"github.com/peridotlock/peridotlock/settings"
@@ -56,9 +57,10 @@
 
 // published is the answer to an edit.
 type published struct {
-	Outcome string          `json:"outcome"`
+	Outcome problem.Outcome `json:"outcome"`
 	Receipt command.Receipt `json:"receipt"`
 	InForce *query.InForce  `json:"in_force,omitempty"`
+	Took    time.Duration   `json:"took_ns"` // until in force, or until accepted
 }
 
 // publish sends an edit and prints what became of it.
@@ -66,6 +68,7 @@
 	e.Author = f.author()
 	e.Note = f.Note
 	key := f.key()
+	begin := time.Now()
 	receipt, err := s.client.Publish(s.ctx, key, e)
 	if err != nil {
 		return err
@@ -73,13 +76,11 @@
 	var found finding.List
 	wait := duration(&found, "--wait", f.Wait)
 	if wait == 0 {
-		return s.printPublished(published{Outcome: "accepted", Receipt: receipt})
+		return s.printPublished(published{Outcome: problem.Accepted, Receipt: receipt, Took: time.Since(begin)})
 	}
 	state, err := s.awaitInForce(receipt, wait)
-	if err := s.printPublished(published{Outcome: "accepted", Receipt: receipt, InForce: state}); err != nil {
-		return err
-	}
-	return err
+	p := published{Outcome: problem.Accepted, Receipt: receipt, InForce: state, Took: time.Since(begin)}
+	return errors.Join(s.printPublished(p), err)
 }
 
 func (s *session) printPublished(p published) error {
@@ -89,7 +90,8 @@
 			return
 		}
 		if p.InForce.Complete {
-			fmt.Fprintf(w, "in force on all %d processes\n", len(p.InForce.VMs))
+			took := p.Took.Round(time.Millisecond)
+			fmt.Fprintf(w, "in force on all %d processes after %v\n", len(p.InForce.VMs), took)
 			return
 		}
 		for _, a := range p.InForce.VMs {
@@ -100,8 +102,12 @@
 	})
 }
 
-// pollEvery is the time between two looks at a state that is waited for.
-const pollEvery = 200 * time.Millisecond
+// The time between two looks at a state that is waited for; it doubles up to
+// the longest.
+const (
+	firstPoll = 20 * time.Millisecond
+	pollEvery = 200 * time.Millisecond
+)
 
 var errNotInForce = errors.New("accepted, but not in force everywhere in time")
 
@@ -111,7 +117,7 @@
 	deadline := time.NewTimer(wait)
 	defer deadline.Stop()
 	var last *query.InForce
-	for {
+	for pause := firstPoll; ; pause = min(2*pause, pollEvery) {
 		state, err := s.client.InForce(s.ctx, r.Revision)
 		if err == nil {
 			last = &state
@@ -124,7 +130,7 @@
 			return last, &exitError{code: ExitNotInForce, err: errNotInForce}
 		case <-s.ctx.Done():
 			return last, &exitError{code: ExitNotInForce, err: errNotInForce}
-		case <-time.After(pollEvery):
+		case <-time.After(pause):
 		}
 	}
 }
--- a/scenario/output.go
+++ b/scenario/output.go
@@ -19,25 +19,33 @@
 	if len(args) < 2 {
 		return usage("output PATTERN COMMAND [ARGS]")
 	}
-	pattern, err := regexp.Compile("(?m)" + args[0])
+	_, err := matchOutput(ts, args[0], args[1:])
+	return err
+}
+
+// matchOutput runs a command and returns the groups of the first match of the
+// pattern in its output.
+func matchOutput(ts *testscript.TestScript, text string, command []string) ([]string, error) {
+	pattern, err := regexp.Compile("(?m)" + text)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	path, err := exec.LookPath(args[1])
+	path, err := exec.LookPath(command[0])
 	if err != nil {
-		return err
+		return nil, err
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), outputLimit)
 	defer cancel()
-	cmd := exec.CommandContext(ctx, path, args[2:]...)
+	cmd := exec.CommandContext(ctx, path, command[1:]...)
 	cmd.Dir = ts.Getenv("WORK")
 	cmd.Env = []string{pathKey + "=" + ts.Getenv(pathKey)}
 	out, err := cmd.CombinedOutput()
 	if err != nil {
-		return fmt.Errorf("%s: %w: %s", args[1], err, out)
+		return nil, fmt.Errorf("%s: %w: %s", command[0], err, out)
 	}
-	if !pattern.Match(out) {
-		return fmt.Errorf("%s: no match for %q in: %s", args[1], args[0], out)
+	match := pattern.FindStringSubmatch(string(out))
+	if match == nil {
+		return nil, fmt.Errorf("%s: no match for %q in: %s", command[0], text, out)
 	}
-	return nil
+	return match, nil
 }
--- a/scenario/scenario.go
+++ b/scenario/scenario.go
@@ -58,6 +58,7 @@
 		"relay":     startRelay,
 		"disturb":   disturb,
 		"remember":  remember,
+		"measure":   measure,
 	}
 }
 
