--- a/wire/client.go
+++ b/wire/client.go
@@ -59,7 +59,7 @@
 }
 
 func (c *Client) call(ctx context.Context, method string, args, reply any) error {
-	callsSent.Inc()
+	countCall(method)
 	c.used.Store(time.Now().UnixNano())
 	if c.inFlight.Add(1) > maxInFlight {
 		c.inFlight.Add(-1)
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -45,14 +45,53 @@
 // Close closes the connection.
 func (c *codec) Close() error { return c.conn.Close() }
 
+// requestHeader is rpc.Request on the wire, an array of two.
+type requestHeader struct {
+	_      struct{} `cbor:",toarray"`
+	Method string
+	Seq    uint64
+}
+
+// responseHeader is rpc.Response on the wire, an array of two. The caller knows
+// the method by the sequence number.
+type responseHeader struct {
+	_     struct{} `cbor:",toarray"`
+	Seq   uint64
+	Error string
+}
+
 type clientCodec struct{ *codec }
 
-func (c clientCodec) WriteRequest(r *rpc.Request, body any) error { return c.write(r, body) }
-func (c clientCodec) ReadResponseHeader(r *rpc.Response) error    { return c.dec.Decode(r) }
-func (c clientCodec) ReadResponseBody(body any) error             { return c.readBody(body) }
+func (c clientCodec) WriteRequest(r *rpc.Request, body any) error {
+	return c.write(requestHeader{Method: r.ServiceMethod, Seq: r.Seq}, body)
+}
+
+func (c clientCodec) ReadResponseHeader(r *rpc.Response) error {
+	var h responseHeader
+	if err := c.dec.Decode(&h); err != nil {
+		return err
+	}
+	r.Seq = h.Seq
+	r.Error = h.Error
+	return nil
+}
+
+func (c clientCodec) ReadResponseBody(body any) error { return c.readBody(body) }
 
 type serverCodec struct{ *codec }
 
-func (c serverCodec) ReadRequestHeader(r *rpc.Request) error        { return c.dec.Decode(r) }
-func (c serverCodec) ReadRequestBody(body any) error                { return c.readBody(body) }
-func (c serverCodec) WriteResponse(r *rpc.Response, body any) error { return c.write(r, body) }
+func (c serverCodec) ReadRequestHeader(r *rpc.Request) error {
+	var h requestHeader
+	if err := c.dec.Decode(&h); err != nil {
+		return err
+	}
+	r.ServiceMethod = h.Method
+	r.Seq = h.Seq
+	return nil
+}
+
+func (c serverCodec) ReadRequestBody(body any) error { return c.readBody(body) }
+
+func (c serverCodec) WriteResponse(r *rpc.Response, body any) error {
+	return c.write(responseHeader{Seq: r.Seq, Error: r.Error}, body)
+}
--- a/wire/metrics.go
+++ b/wire/metrics.go
@@ -10,11 +10,15 @@
 var (
 	bytesReceived = metrics.NewCounter(`peridotlock_peer_bytes_total{direction="received"}`)
 	bytesSent     = metrics.NewCounter(`peridotlock_peer_bytes_total{direction="sent"}`)
-	callsSent     = metrics.NewCounter(`peridotlock_peer_calls_total`)
 	callsNotSent  = metrics.NewCounter(`peridotlock_peer_call_failures_total{reason="not-sent"}`)
 	callsLost     = metrics.NewCounter(`peridotlock_peer_call_failures_total{reason="unanswered"}`)
 )
 
+// countCall counts a call by its method, of which there are few.
+func countCall(method string) {
+	metrics.GetOrCreateCounter(`peridotlock_peer_calls_total{method="` + method + `"}`).Inc()
+}
+
 // countedConn counts the bytes of a connection.
 type countedConn struct{ net.Conn }
 
