--- a/scenario/cluster.go
+++ b/scenario/cluster.go
@@ -18,11 +18,18 @@
 
 // startCluster starts the stand-ins and three entry VMs, publishes
 // settings.yaml and waits until all are ready: cluster. The daemons are named
-// platform, scheduler-a and entry-a, and so on.
+// platform, scheduler-a and entry-a, and so on. LOG_A, LOG_B and LOG_C are the
+// log's addresses that the VMs use; a script may set them beforehand.
 func startCluster(ts *testscript.TestScript, args []string) error {
 	if len(args) != 0 {
 		return usage("cluster")
 	}
+	s := stateOf(ts)
+	clusters <- struct{}{}
+	s.running = true
+	if err := s.expand(ts.Getenv("WORK"), ts.Getenv); err != nil {
+		return err
+	}
 	if err := startDaemon(ts, []string{"platform", "peridotlock-standin", "serve", "--file", "standin.yaml"}); err != nil {
 		return err
 	}
--- a/scenario/control.go
+++ b/scenario/control.go
@@ -17,6 +17,9 @@
 	"github.com/peridotlock/peridotlock/standin/fault"
 )
 
+// maxListed bounds the items of the ledger that a failure tells.
+const maxListed = 5
+
 // none is the state in scripts of a VM that is gone.
 const none = "gone"
 
@@ -60,7 +63,7 @@
 
 // checkLedger compares a number of the ledger's summary: ledger PATH OP NUMBER,
 // such as "ledger outcomes.finished >= 3". With a trailing QUERY it counts the
-// runs that the query selects: "ledger runs == 0 failure_domain=a&after=TIME".
+// runs or executions that the query selects: "ledger runs == 0 running=true".
 func checkLedger(ts *testscript.TestScript, args []string) error {
 	if len(args) != 3 && len(args) != 4 {
 		return usage("ledger PATH OP NUMBER [QUERY]")
@@ -81,9 +84,9 @@
 
 func ledgerNumber(ts *testscript.TestScript, path string, query []string) (float64, string, error) {
 	if len(query) > 0 {
-		var runs []json.RawMessage
-		err := get(controlURL(ts, "ledger/runs?"+query[0]), &runs)
-		return float64(len(runs)), fmt.Sprintf("%s", runs), err
+		var list []json.RawMessage
+		err := get(controlURL(ts, "ledger/"+path+"?"+query[0]), &list)
+		return float64(len(list)), fmt.Sprintf("%s", list[:min(len(list), maxListed)]), err
 	}
 	var summary any
 	if err := get(controlURL(ts, "ledger"), &summary); err != nil {
--- a/scenario/ports.go
+++ b/scenario/ports.go
@@ -30,6 +30,9 @@
 		defer l.Close()
 		env.Setenv(name, l.Addr().String())
 	}
+	for _, name := range []string{"LOG_A", "LOG_B", "LOG_C"} {
+		env.Setenv(name, env.Getenv("LOG"))
+	}
 	env.Setenv("SERVERS", env.Getenv("A_OPERATORS")+","+env.Getenv("B_OPERATORS")+","+env.Getenv("C_OPERATORS"))
 	env.Setenv("ENTRIES", env.Getenv("A_CALLERS")+","+env.Getenv("B_CALLERS")+","+env.Getenv("C_CALLERS"))
 	env.Setenv("READY", readyURL(env, "A_ENTRY")+","+readyURL(env, "B_ENTRY")+","+readyURL(env, "C_ENTRY"))
--- a/scenario/scenario.go
+++ b/scenario/scenario.go
@@ -18,8 +18,16 @@
 type state struct {
 	processes map[string]*process
 	relays    map[string]*relay
+	templates string // directory
+	running   bool   // holds a place among the clusters
 }
 
+// maxClusters bounds the clusters that run at once, so that scripts don't
+// starve each other of processor time.
+const maxClusters = 2
+
+var clusters = make(chan struct{}, maxClusters)
+
 // command is a command of the script language that may be repeated.
 type command func(ts *testscript.TestScript, args []string) error
 
@@ -62,33 +70,34 @@
 }
 
 func setup(env *testscript.Env, templates string) error {
-	s := &state{processes: make(map[string]*process), relays: make(map[string]*relay)}
+	s := &state{processes: make(map[string]*process), relays: make(map[string]*relay), templates: templates}
 	env.Values[stateKey{}] = s
 	env.Defer(s.close)
 	if err := reservePorts(env); err != nil {
 		return err
 	}
-	files, err := os.ReadDir(templates)
+	return s.expand(env.WorkDir, env.Getenv)
+}
+
+// expand copies the templates and replaces $NAME by the script's variables.
+func (s *state) expand(to string, variable func(string) string) error {
+	files, err := os.ReadDir(s.templates)
 	if err != nil {
 		return err
 	}
 	for _, f := range files {
-		if err := expand(env, filepath.Join(templates, f.Name()), filepath.Join(env.WorkDir, f.Name())); err != nil {
+		data, err := os.ReadFile(filepath.Join(s.templates, f.Name()))
+		if err != nil {
+			return err
+		}
+		text := os.Expand(string(data), variable)
+		if err := os.WriteFile(filepath.Join(to, f.Name()), []byte(text), 0o644); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-// expand copies a file and replaces $NAME by the script's variables.
-func expand(env *testscript.Env, from, to string) error {
-	data, err := os.ReadFile(from)
-	if err != nil {
-		return err
-	}
-	return os.WriteFile(to, []byte(os.Expand(string(data), env.Getenv)), 0o644)
-}
-
 func (s *state) close() {
 	for _, p := range s.processes {
 		// One that has ended already needs no signal.
@@ -97,6 +106,9 @@
 	for _, r := range s.relays {
 		r.Close()
 	}
+	if s.running {
+		<-clusters
+	}
 }
 
 func stateOf(ts *testscript.TestScript) *state { return ts.Value(stateKey{}).(*state) }
--- a/standin/control.go
+++ b/standin/control.go
@@ -42,9 +42,7 @@
 	mux.HandleFunc("GET /control/faults", func(w http.ResponseWriter, _ *http.Request) { write(w, d.Faults.All()) })
 	mux.HandleFunc("GET /control/ledger", func(w http.ResponseWriter, _ *http.Request) { write(w, d.Ledger.Summary()) })
 	mux.HandleFunc("GET /control/ledger/runs", d.serveRuns)
-	mux.HandleFunc("GET /control/ledger/executions", func(w http.ResponseWriter, r *http.Request) {
-		write(w, d.Ledger.Executions(r.FormValue("request")))
-	})
+	mux.HandleFunc("GET /control/ledger/executions", d.serveExecutions)
 	mux.HandleFunc("GET /control/ledger/counts", func(w http.ResponseWriter, _ *http.Request) { write(w, d.Ledger.ExecutionCounts()) })
 	mux.HandleFunc("POST /control/faults", change(d.setFault))
 	mux.HandleFunc("POST /control/vms", change(d.setVM))
@@ -70,6 +68,21 @@
 	}))
 }
 
+// serveExecutions answers the executions selected by the parameters request,
+// endpoint and after.
+func (d *Deployment) serveExecutions(w http.ResponseWriter, r *http.Request) {
+	after, err := timeOf(r, "after")
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	write(w, d.Ledger.Executions(ledger.ExecutionFilter{
+		Request:  r.FormValue("request"),
+		Endpoint: r.FormValue("endpoint"),
+		After:    after,
+	}))
+}
+
 func timeOf(r *http.Request, name string) (time.Time, error) {
 	value := r.FormValue(name)
 	if value == "" {
--- a/standin/deployment_test.go
+++ b/standin/deployment_test.go
@@ -212,8 +212,9 @@
 			d.Faults.Set(list.VMs[2].ID, fault.Fault{CutAnswers: 1})
 			_, err = get()
 			So(errors.Is(err, io.ErrUnexpectedEOF), ShouldBeTrue)
-			So(len(d.Ledger.Executions("r1")), ShouldEqual, 2)
-			So(d.Ledger.Executions("r1")[1].Answered, ShouldBeFalse)
+			executions := d.Ledger.Executions(ledger.ExecutionFilter{Request: "r1"})
+			So(len(executions), ShouldEqual, 2)
+			So(executions[1].Answered, ShouldBeFalse)
 		})
 	})
 }
--- a/standin/ledger/query.go
+++ b/standin/ledger/query.go
@@ -91,17 +91,35 @@
 	return f.FailureDomain.Contains(r.FailureDomain) && r.Start.After(f.After)
 }
 
-// Executions returns the executions of one request.
-func (l *Ledger) Executions(id string) []Execution {
+// ExecutionFilter selects executions; zero members select all.
+type ExecutionFilter struct {
+	Request  string
+	Endpoint string
+	After    time.Time // started after
+}
+
+// Executions returns the executions that the filter selects.
+func (l *Ledger) Executions(f ExecutionFilter) []Execution {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	out := []Execution{}
-	for _, e := range l.requests[id] {
-		out = append(out, *e)
+	for id, executions := range l.requests {
+		if f.Request != "" && f.Request != id {
+			continue
+		}
+		for _, e := range executions {
+			if f.selects(e) {
+				out = append(out, *e)
+			}
+		}
 	}
 	return out
 }
 
+func (f ExecutionFilter) selects(e *Execution) bool {
+	return (f.Endpoint == "" || f.Endpoint == e.Endpoint) && e.Start.After(f.After)
+}
+
 // ExecutionCounts returns how often each request was executed.
 func (l *Ledger) ExecutionCounts() map[string]int {
 	l.mu.Lock()
