--- a/entry/guard.go
+++ b/entry/guard.go
@@ -48,7 +48,7 @@
 	if c.world == nil {
 		return overload("not-ready", "Entry has no settings yet", "no snapshot from the scheduler", comeBack)
 	}
-	m, ok := c.world.routes.Find(c.r.Method, c.r.URL.Path)
+	m, ok := c.world.routes.Find(c.r.Host, c.r.Method, c.r.URL.Path)
 	if !ok {
 		return refusal(http.StatusNotFound, "no-route", "No service has this path and method", c.r.Method+" "+c.r.URL.Path)
 	}
--- a/entry/route/route.go
+++ b/entry/route/route.go
@@ -3,6 +3,7 @@
 package route
 
 import (
+	"net"
 	"path"
 	"sort"
 	"strings"
@@ -21,22 +22,30 @@
 }
 
 type rule struct {
-	prefix, method string
+	prefix, method string // method may be empty for any
 	match          Match
 }
 
-// Table is an immutable set of routes, the most specific first.
-type Table struct{ rules []rule }
+// Table is an immutable set of routes.
+type Table struct{ byHost map[string][]rule } // the most specific first
 
 // NewTable returns the table of the given services.
 func NewTable(services []settings.Service) *Table {
-	t := &Table{}
+	t := &Table{byHost: make(map[string][]rule)}
 	for i, s := range services {
-		for _, r := range s.Routes {
-			t.rules = append(t.rules, rule{r.Prefix, r.Method, Match{Service: i, Class: r.Class}})
+		hosts := s.Hosts
+		if len(hosts) == 0 {
+			hosts = []string{""}
 		}
+		for _, host := range hosts {
+			for _, r := range s.Routes {
+				t.byHost[host] = append(t.byHost[host], rule{r.Prefix, r.Method, Match{Service: i, Class: r.Class}})
+			}
+		}
+	}
+	for _, rules := range t.byHost {
+		sort.SliceStable(rules, func(i, j int) bool { return rules[i].precedes(rules[j]) })
 	}
-	sort.SliceStable(t.rules, func(i, j int) bool { return t.rules[i].precedes(t.rules[j]) })
 	return t
 }
 
@@ -48,9 +57,15 @@
 	return r.method != "" && o.method == ""
 }
 
-// Find returns the route with the longest prefix that has the method.
-func (t *Table) Find(method, p string) (Match, bool) {
-	for _, r := range t.rules {
+// Find returns the route with the longest prefix that has the method, among
+// the services that name the host, or those without hosts when none does. host
+// may carry a port.
+func (t *Table) Find(host, method, p string) (Match, bool) {
+	rules, named := t.byHost[hostName(host)]
+	if !named {
+		rules = t.byHost[""]
+	}
+	for _, r := range rules {
 		if (r.method == "" || r.method == method) && hasPrefix(p, r.prefix) {
 			return r.match, true
 		}
@@ -58,6 +73,14 @@
 	return Match{}, false
 }
 
+// hostName returns host in lower case without its port.
+func hostName(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	return strings.ToLower(host)
+}
+
 // hasPrefix compares whole path segments.
 func hasPrefix(p, prefix string) bool {
 	if !strings.HasPrefix(p, prefix) {
@@ -69,7 +92,7 @@
 // IsCanonical reports whether p has no empty, "." or ".." segments, which an
 // endpoint could resolve to a path of another class.
 func IsCanonical(p string) bool {
-	if !strings.HasPrefix(p, "/") || strings.ContainsAny(p, "\\\x00") {
+	if !strings.HasPrefix(p, "/") || strings.ContainsAny(p, "\\\x00") || strings.Contains(p, "//") {
 		return false
 	}
 	return p == "/" || path.Clean(p) == strings.TrimSuffix(p, "/")
