--- a/entry/call.go
+++ b/entry/call.go
@@ -37,6 +37,7 @@
 	policy   *settings.RequestPolicy
 	class    fleet.RequestClass
 	body     []byte
+	bodyRead bool
 	held     int64 // bytes counted in the entry's bodies
 	attempts atomic.Int32
 }
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -129,7 +129,9 @@
 
 func (b *bench) send(method, path, id, body string, header ...string) reply {
 	req, err := http.NewRequestWithContext(context.Background(), method, b.url+path, strings.NewReader(body))
-	So(err, ShouldBeNil)
+	if err != nil {
+		return reply{err: err}
+	}
 	req.Header.Set(load.IDHeader, id)
 	for i := 0; i+1 < len(header); i += 2 {
 		req.Header.Set(header[i], header[i+1])
--- a/entry/guard.go
+++ b/entry/guard.go
@@ -33,7 +33,6 @@
 	case !route.IsCanonical(r.URL.Path):
 		return refusal(http.StatusBadRequest, "path", "Path is not canonical", "empty, '.' or '..' segments are not served")
 	case hasBothLengths(r):
-		c.w.Header().Set("Connection", "close")
 		return refusal(http.StatusBadRequest, "framing", "Ambiguous framing", "Content-Length and Transfer-Encoding exclude each other")
 	}
 	return nil
@@ -89,7 +88,7 @@
 	}
 	limit := c.policy.MaxBodyBytes
 	if r.ContentLength > limit {
-		return bodyTooLarge(c, limit)
+		return bodyTooLarge(limit)
 	}
 	if problem := c.holdBody(r.ContentLength); problem != nil {
 		return problem
@@ -97,14 +96,17 @@
 	control := http.NewResponseController(c.w)
 	control.SetReadDeadline(c.deadline)
 	body, err := readBody(http.MaxBytesReader(c.w, r.Body, limit), r.ContentLength)
-	control.SetReadDeadline(time.Time{})
+	if err == nil {
+		control.SetReadDeadline(time.Time{})
+		c.bodyRead = true
+	}
 	var large *http.MaxBytesError
 	switch {
 	case err == nil:
 		c.body = body
 		return nil
 	case errors.As(err, &large):
-		return bodyTooLarge(c, limit)
+		return bodyTooLarge(limit)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return refusal(http.StatusRequestTimeout, "body-late", "Body did not arrive in time", err.Error())
 	}
@@ -135,8 +137,7 @@
 	return body, err
 }
 
-func bodyTooLarge(c *call, limit int64) *answer.Problem {
-	c.w.Header().Set("Connection", "close")
+func bodyTooLarge(limit int64) *answer.Problem {
 	return refusal(http.StatusRequestEntityTooLarge, "body-size", "Body too large", "more than "+strconv.FormatInt(limit, 10)+" bytes")
 }
 
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -34,7 +34,12 @@
 	c.finish(answered)
 }
 
+// refuse writes the problem. Without Connection: close the server would first
+// wait for the rest of an unread body.
 func (c *call) refuse(p *answer.Problem) {
+	if c.r.Body != http.NoBody && !c.bodyRead {
+		c.w.Header().Set("Connection", "close")
+	}
 	p.Write(c.w)
 	c.span.SetStatus(codes.Error, p.Code)
 	c.entry.options.Log.V(1).Info("request not answered by an endpoint", "method", c.r.Method, "path", c.r.URL.Path,
--- a/load/endpoint.go
+++ b/load/endpoint.go
@@ -19,6 +19,7 @@
 	SizeHeader  = "Load-Answer-Bytes" // size of the answer
 	TookHeader  = "Load-Took-Ns"      // time from the request's arrival to the answer
 	WatchPath   = "/watch"            // streams ticks without an end
+	EchoPath    = "/lookups/echo"     // answers with the header of the request
 	readTimeout = 30 * time.Second
 	watchTick   = 20 * time.Millisecond
 )
@@ -133,9 +134,13 @@
 
 // ServeHTTP runs one request.
 func (e *Endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path == WatchPath {
+	switch r.URL.Path {
+	case WatchPath:
 		e.watch(w, r)
 		return
+	case EchoPath:
+		r.Header.Write(w)
+		return
 	}
 	start := time.Now()
 	request, err := io.ReadAll(r.Body)
@@ -205,7 +210,7 @@
 	for i := 0; r.Context().Err() == nil; i++ {
 		fmt.Fprintf(w, "tick %d\n", i)
 		if control.Flush() != nil || !e.pause(watchTick) {
-			return
+			panic(http.ErrAbortHandler)
 		}
 	}
 }
