membership: declare dead only what this node found silent itself, three times

Ruled out: more rounds per rumor; the tail of an epidemic stays. Change: three confirmed silences in a row; an open suspicion of another node is probed, not timed out; probes carry a digest of the view, and differing views are brought together a few members at a time.

--- a/membership/gossip.go
+++ b/membership/gossip.go
@@ -2,8 +2,12 @@
 
 import (
 	"cmp"
+	"fmt"
+	"maps"
 	"slices"
 	"strings"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const maxUpdates = 8 // in one message
@@ -58,7 +62,7 @@
 		return Member{}, false
 	}
 	t.turn++
-	if id, ok := t.accusedOne(ring); ok && t.turn%4 != 0 {
+	if id, ok := t.doubtedOne(ring); ok && t.turn%3 != 0 {
 		return t.members[id].view(), true
 	}
 	self := slices.Index(ring, t.self)
@@ -69,15 +73,53 @@
 	return t.members[ring[(self+step)%n]].view(), true
 }
 
-func (t *Table) accusedOne(ring []string) (string, bool) {
-	for _, id := range ring {
-		if t.members[id].accused {
+// doubtedOne returns one of the suspects that this node probes, by turns.
+func (t *Table) doubtedOne(ring []string) (string, bool) {
+	n := len(ring)
+	for i := range n {
+		id := ring[(t.turn+i)%n]
+		if t.members[id].doubted {
 			return id, true
 		}
 	}
 	return "", false
 }
 
+// Doubts reports whether any suspect waits for this node's probes.
+func (t *Table) Doubts() bool {
+	_, ok := t.doubtedOne(t.probed())
+	return ok
+}
+
+// Digest returns a hash of the verdicts on all members that are not dead. Two
+// views with the same digest agree.
+func (t *Table) Digest() uint64 {
+	if t.digest != 0 {
+		return t.digest
+	}
+	h := xxhash.New()
+	for _, id := range slices.Sorted(maps.Keys(t.members)) {
+		e := t.members[id]
+		if e.State != Dead {
+			fmt.Fprintf(h, "%s %d %d\n", id, e.State, e.Incarnation)
+		}
+	}
+	t.digest = max(1, h.Sum64())
+	return t.digest
+}
+
+// Sync returns the next few verdicts for a peer whose view differs, so that
+// repeated calls cover all members.
+func (t *Table) Sync() []Update {
+	ids := slices.Sorted(maps.Keys(t.members))
+	var out []Update
+	for range min(maxUpdates, len(ids)) {
+		t.cursor = (t.cursor + 1) % len(ids)
+		out = append(out, t.members[ids[t.cursor]].update())
+	}
+	return out
+}
+
 // probed returns the ids of all members that are not dead, with this node among
 // them, by failure domain, so that most neighbours are near.
 func (t *Table) probed() []string {
--- a/membership/prober.go
+++ b/membership/prober.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -113,15 +114,30 @@
 // Run polls the list and probes peers until ctx ends.
 func (p *Prober) Run(ctx context.Context) error {
 	var loops sync.WaitGroup
-	loops.Go(func() { p.every(ctx, p.o.ListEvery, p.pollList) })
-	loops.Go(func() { p.every(ctx, p.o.ProbeEvery, p.round) })
+	loops.Go(func() { p.every(ctx, p.listInterval, p.pollList) })
+	loops.Go(func() { p.every(ctx, p.probeInterval, p.round) })
 	loops.Wait()
 	return nil
 }
 
-func (p *Prober) every(ctx context.Context, interval time.Duration, fn func(context.Context)) {
+func (p *Prober) listInterval() time.Duration { return p.o.ListEvery }
+
+// probeInterval returns the time to the next round, which is shorter while a
+// suspect waits for it.
+func (p *Prober) probeInterval() time.Duration {
+	interval := p.o.ProbeEvery
+	p.table.do(func(t *Table, _ time.Time) {
+		if t.Doubts() {
+			interval /= 2
+		}
+	})
+	return interval
+}
+
+func (p *Prober) every(ctx context.Context, next func() time.Duration, fn func(context.Context)) {
 	for ctx.Err() == nil {
 		fn(ctx)
+		interval := next()
 		spread := time.Duration(rand.Int64N(int64(interval)/5 + 1))
 		wait := time.NewTimer(interval - interval/10 + spread)
 		select {
@@ -172,18 +188,22 @@
 func (p *Prober) confirmSilence(ctx context.Context, target Member) bool {
 	var asked []Member
 	p.table.do(func(t *Table, _ time.Time) { asked = t.Helpers(target.ID, helpers, rand.Int()) })
-	confirmed := false
+	var reached, answered atomic.Int32
+	var calls sync.WaitGroup
 	for _, h := range asked {
-		reply, err := p.confirm(ctx, h, target)
-		if err != nil {
-			continue
-		}
-		if reply.Answered {
-			return false
-		}
-		confirmed = true
+		calls.Go(func() {
+			reply, err := p.confirm(ctx, h, target)
+			if err != nil {
+				return
+			}
+			reached.Add(1)
+			if reply.Answered {
+				answered.Add(1)
+			}
+		})
 	}
-	return confirmed
+	calls.Wait()
+	return reached.Load() > 0 && answered.Load() == 0
 }
 
 func (p *Prober) confirm(ctx context.Context, helper, target Member) (ConfirmReply, error) {
@@ -207,6 +227,7 @@
 	defer cancel()
 	var reply ProbeReply
 	args := ProbeArgs{From: p.selfID(), Updates: p.exchange(id, nil)}
+	p.table.do(func(t *Table, _ time.Time) { args.Digest = t.Digest() })
 	if err := p.transport.Call(ctx, addr, ServiceName+".Probe", args, &reply); err != nil {
 		return err
 	}
--- a/membership/prober_test.go
+++ b/membership/prober_test.go
@@ -171,7 +171,9 @@
 	inFleet(t, "Nobody dies while a region is cut off, though the list is out too", func(_ context.Context, n *network) {
 		n.set(func() {
 			n.down = true
-			n.cut = func(a, b *node) bool { return (a.domain.Parent() == "org/region-2") != (b.domain.Parent() == "org/region-2") }
+			n.cut = func(a, b *node) bool {
+				return (a.domain.Parent() == "org/region-2") != (b.domain.Parent() == "org/region-2")
+			}
 		})
 		for range 24 {
 			time.Sleep(5 * time.Second)
--- a/membership/service.go
+++ b/membership/service.go
@@ -13,6 +13,7 @@
 type ProbeArgs struct {
 	From    string   `cbor:"1,keyasint"`
 	Updates []Update `cbor:"2,keyasint"`
+	Digest  uint64   `cbor:"3,keyasint"` // of the caller's view
 }
 
 // ProbeReply is the answer to a probe.
@@ -38,6 +39,11 @@
 // Probe answers a peer's probe.
 func (s *Service) Probe(a ProbeArgs, r *ProbeReply) error {
 	r.Updates = s.p.exchange(a.From, a.Updates)
+	s.p.table.do(func(t *Table, _ time.Time) {
+		if t.Digest() != a.Digest {
+			r.Updates = append(r.Updates, t.Sync()...)
+		}
+	})
 	return nil
 }
 
--- a/membership/table.go
+++ b/membership/table.go
@@ -15,7 +15,8 @@
 	deadKept          = 10 * time.Minute // before a dead member is forgotten
 	updateRounds      = 12               // messages that carry an update
 	maxDeadShare      = 0.5              // of the members that probes alone may declare dead
-	othersFactor      = 3                // by which a suspicion of another node waits longer
+	othersFactor      = 3                // by which this node waits longer before it probes another's suspect
+	deadAfter         = 3                // confirmed silences in a row
 	probationBase     = 10 * time.Second // after the first return from the dead
 	probationMax      = 5 * time.Minute
 	returnsKept       = 15 * time.Minute // without a return, earlier ones are forgotten
@@ -39,6 +40,8 @@
 	asOf    time.Time      // of the newest list applied
 	ring    []string       // ids of the members that are probed, by failure domain
 	turn    int
+	cursor  int    // of Sync
+	digest  uint64 // 0 when not computed
 	changes uint64
 }
 
@@ -46,7 +49,8 @@
 	Member
 	listed  bool // in the newest list
 	leaving bool // so said by the list
-	accused bool // this node raised the suspicion
+	doubted bool // this node probes the suspect until it is live or dead
+	silent  int  // confirmed silences in a row seen by this node
 	returns int  // from the dead
 }
 
@@ -211,10 +215,13 @@
 
 // Suspect notes that a member did not answer, as confirmed by another one.
 func (t *Table) Suspect(id string, now time.Time) {
-	if e, ok := t.members[id]; ok && e.State < Suspect && id != t.self {
-		t.suspect(e, now)
-		e.accused = true
+	e, ok := t.members[id]
+	if !ok || id == t.self || e.State == Dead {
+		return
 	}
+	t.suspect(e, now)
+	e.doubted = true
+	e.silent++
 }
 
 func (t *Table) suspect(e *entry, now time.Time) {
@@ -224,13 +231,17 @@
 	t.set(e, Suspect, now)
 }
 
-// Tick declares suspects dead whose time ran out, and forgets old dead ones.
+// Tick declares suspects dead whose silence this node confirmed itself, and
+// forgets old dead ones. A suspect of another node is probed when that node
+// leaves the suspicion open.
 func (t *Table) Tick(now time.Time) {
 	for _, id := range slices.Sorted(maps.Keys(t.members)) {
 		e := t.members[id]
 		switch {
-		case e.State == Suspect && now.Sub(e.Since) >= t.suspectFor(e) && t.mayDie(e):
+		case e.State == Suspect && e.silent >= deadAfter && now.Sub(e.Since) >= t.o.SuspectFor && t.mayDie(e):
 			t.set(e, Dead, now)
+		case e.State == Suspect && now.Sub(e.Since) >= othersFactor*t.o.SuspectFor:
+			e.doubted = true
 		case e.State == Dead && !e.listed && now.Sub(e.Since) >= deadKept:
 			delete(t.members, id)
 			delete(t.rumors, id)
@@ -239,15 +250,6 @@
 	}
 }
 
-// suspectFor returns how long a suspicion lasts. Others leave the node that
-// raised it the time to tell how it ended.
-func (t *Table) suspectFor(e *entry) time.Duration {
-	if e.accused {
-		return t.o.SuspectFor
-	}
-	return othersFactor * t.o.SuspectFor
-}
-
 // mayDie bounds how many members die without the list saying so: if most seem
 // gone, it is more likely that this node is cut off.
 func (t *Table) mayDie(e *entry) bool {
@@ -269,7 +271,7 @@
 	}
 	e.State = s
 	e.Since = now
-	e.accused = false
+	e.doubted, e.silent = false, 0
 	t.changed(e.ID)
 }
 
@@ -282,4 +284,5 @@
 func (t *Table) noteChange() {
 	t.changes++
 	t.ring = nil
+	t.digest = 0
 }
