Pack long texts in records; publish new branches; show what a lost edit met

Publishing a branch that did not exist failed, since its base was asked of the branch itself. Ruled out: larger records; the limit is the stream's and serves everybody.

--- a/api/api_test.go
+++ b/api/api_test.go
@@ -20,6 +20,7 @@
 	"github.com/peridotlock/peridotlock/job"
 	"github.com/peridotlock/peridotlock/platform"
 	"github.com/peridotlock/peridotlock/settings"
+	"github.com/peridotlock/peridotlock/stream"
 	"github.com/peridotlock/peridotlock/wire"
 )
 
@@ -148,6 +149,7 @@
 			{fmt.Errorf("x: %w", wire.ErrNotSent), http.StatusServiceUnavailable, problem.Refused},
 			{fmt.Errorf("x: %w", platform.ErrInDoubt), http.StatusGatewayTimeout, problem.Unknown},
 			{fmt.Errorf("x: %w", wire.ErrUnanswered), http.StatusGatewayTimeout, problem.Unknown},
+			{fmt.Errorf("x: %w", stream.ErrInvalidEntry), http.StatusRequestEntityTooLarge, problem.Refused},
 			{context.DeadlineExceeded, http.StatusGatewayTimeout, problem.Unknown},
 			{errors.New("other"), http.StatusInternalServerError, problem.Unknown},
 			{problem.Missing("job"), http.StatusNotFound, problem.Refused},
--- a/api/problem/problem.go
+++ b/api/problem/problem.go
@@ -14,6 +14,7 @@
 	"github.com/peridotlock/peridotlock/finding"
 	"github.com/peridotlock/peridotlock/platform"
 	"github.com/peridotlock/peridotlock/settings"
+	"github.com/peridotlock/peridotlock/stream"
 	"github.com/peridotlock/peridotlock/wire"
 )
 
@@ -107,6 +108,8 @@
 		return p
 	case errors.As(err, &tooLarge):
 		return New(TooLarge, http.StatusRequestEntityTooLarge, "body is larger than %d bytes", tooLarge.Limit)
+	case errors.Is(err, stream.ErrInvalidEntry):
+		return New(TooLarge, http.StatusRequestEntityTooLarge, "%v", err)
 	case errors.Is(err, platform.ErrInDoubt), errors.Is(err, wire.ErrUnanswered), errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled):
 		return unknown(InDoubt, http.StatusGatewayTimeout, err)
 	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, wire.ErrNotSent):
--- a/daemon/ctl/ctl_test.go
+++ b/daemon/ctl/ctl_test.go
@@ -165,6 +165,16 @@
 			code, out := c.run("settings", "publish", file, "--branch", "zavod/registry", "--author", "ana")
 			So(code, ShouldEqual, ExitRefused)
 			So(out, ShouldContainSubstring, "zavod/registry: policy.requests.deadline is now 2s since revision 1 by iva (fair)")
+			So(out, ShouldContainSubstring, "deadline: 2s")
+		})
+		Convey("a new branch is published below its parent", func() {
+			file := filepath.Join(t.TempDir(), "fair.yaml")
+			So(os.WriteFile(file, []byte("kind: team\nquota: {milli-cpu: 1, memory-mb: 1}\n"), 0o600), ShouldBeNil)
+			code, _ := c.run("settings", "publish", file, "--branch", "zavod/fair")
+			So(code, ShouldEqual, ExitOK)
+			code, out := c.run("settings", "publish", file, "--branch", "zavod/none/fair")
+			So(code, ShouldEqual, ExitRefused)
+			So(out, ShouldContainSubstring, `no branch "zavod/none"`)
 		})
 		Convey("an unknown outcome is said, and the same key has effect once", func() {
 			b.fail = fmt.Errorf("append: %w", platform.ErrInDoubt)
--- a/daemon/ctl/edit.go
+++ b/daemon/ctl/edit.go
@@ -49,7 +49,7 @@
 	if err != nil {
 		return err
 	}
-	return s.publish(&c.editFlags, settings.Edit{Branch: path, Base: doc.Base, Operation: settings.Replace, File: doc.File, Text: text})
+	return s.publish(&c.editFlags, settings.Edit{Branch: path, Base: doc.Base, Operation: settings.Replace, File: "edit of /" + string(path), Text: text})
 }
 
 func (c *editCommand) apply(doc query.Document) (string, error) {
--- a/daemon/ctl/output.go
+++ b/daemon/ctl/output.go
@@ -60,6 +60,7 @@
 	Advice  []string         `json:"advice,omitempty"`
 	Finding finding.List     `json:"findings,omitempty"`
 	Problem *problem.Problem `json:"problem,omitempty"`
+	Changed []diffLine       `json:"changed,omitempty"` // since the base of a lost edit
 }
 
 // report writes an error, if there is one, and returns the exit code.
@@ -73,6 +74,9 @@
 		return f.Code
 	}
 	fmt.Fprintln(w, f.Error)
+	if len(f.Changed) > 0 {
+		printDiff(w, f.Changed)
+	}
 	for _, line := range f.Advice {
 		fmt.Fprintln(w, "  "+line)
 	}
@@ -84,6 +88,7 @@
 	var unreachable *client.UnreachableError
 	var p *problem.Problem
 	var exit *exitError
+	var lost *lostError
 	switch {
 	case errors.As(err, &exit):
 		return failure{Error: err.Error(), Code: exit.code, Outcome: problem.Accepted}
@@ -91,6 +96,10 @@
 		return failure{Error: found.Error(), Code: ExitBadInput, Outcome: problem.Refused, Finding: found}
 	case errors.As(err, &unreachable):
 		return describeUnreachable(unreachable)
+	case errors.As(err, &lost):
+		f := describeProblem(lost.Problem)
+		f.Changed = lost.changed
+		return f
 	case errors.As(err, &p):
 		return describeProblem(p)
 	}
--- a/daemon/ctl/publish.go
+++ b/daemon/ctl/publish.go
@@ -71,7 +71,7 @@
 	begin := time.Now()
 	receipt, err := s.client.Publish(s.ctx, key, e)
 	if err != nil {
-		return err
+		return s.withDifference(err, e)
 	}
 	var found finding.List
 	wait := duration(&found, "--wait", f.Wait)
@@ -83,6 +83,30 @@
 	return errors.Join(s.printPublished(p), err)
 }
 
+// lostError is the problem of a lost edit and what changed since its base.
+type lostError struct {
+	*problem.Problem
+	changed []diffLine
+}
+
+// Unwrap returns the problem.
+func (e *lostError) Unwrap() error { return e.Problem }
+
+// withDifference adds to a lost edit what changed in its branch since its base,
+// when the server still knows.
+func (s *session) withDifference(err error, e settings.Edit) error {
+	var p *problem.Problem
+	if !errors.As(err, &p) || p.Type != problem.Lost || e.Base < 0 {
+		return err
+	}
+	before, beforeErr := s.client.Document(s.ctx, e.Branch, e.Base)
+	now, nowErr := s.client.Document(s.ctx, e.Branch, query.Present)
+	if beforeErr != nil || nowErr != nil {
+		return err
+	}
+	return &lostError{Problem: p, changed: diffLines(splitLines(before.Text), splitLines(now.Text))}
+}
+
 func (s *session) printPublished(p published) error {
 	return s.out.print(p, func(w io.Writer) {
 		fmt.Fprintf(w, "accepted revision=%d key=%s\n", p.Receipt.Revision, p.Receipt.Key)
--- a/daemon/ctl/settings.go
+++ b/daemon/ctl/settings.go
@@ -1,11 +1,13 @@
 package ctl
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"os"
 	"strings"
 
+	"github.com/peridotlock/peridotlock/api/problem"
 	"github.com/peridotlock/peridotlock/api/query"
 	"github.com/peridotlock/peridotlock/finding"
 	"github.com/peridotlock/peridotlock/fleet"
@@ -95,7 +97,17 @@
 		base := offset(&found, c.File, strings.TrimSpace(line), query.Present)
 		return base, found.Err()
 	}
-	doc, err := s.client.Document(s.ctx, e.Branch, query.Present)
+	return s.presentBase(e.Branch)
+}
+
+// presentBase returns the base of an edit of the branch as it is now. A branch
+// that is new has that of its parent.
+func (s *session) presentBase(branch fleet.Path) (platform.Offset, error) {
+	doc, err := s.client.Document(s.ctx, branch, query.Present)
+	var p *problem.Problem
+	if branch != "" && errors.As(err, &p) && p.Type == problem.NotFound {
+		doc, err = s.client.Document(s.ctx, branch.Parent(), query.Present)
+	}
 	return doc.Base, err
 }
 
@@ -198,10 +210,10 @@
 func (c *revertCommand) Run(s *session) error {
 	var found finding.List
 	path := fleet.Path(strings.TrimPrefix(c.Branch, "/"))
-	doc, err := s.client.Document(s.ctx, path, query.Present)
+	base, err := s.presentBase(path)
 	if err != nil {
 		return err
 	}
 	revision := offset(&found, "revision", c.Revision, query.Present)
-	return s.publish(&c.editFlags, settings.Edit{Branch: path, Base: doc.Base, Operation: settings.Revert, Revision: revision})
+	return s.publish(&c.editFlags, settings.Edit{Branch: path, Base: base, Operation: settings.Revert, Revision: revision})
 }
--- a/settings/edit.go
+++ b/settings/edit.go
@@ -44,16 +44,43 @@
 
 var errUnknownOperation = errors.New("unknown operation")
 
+// record is an edit as it stands on the log, with a long text compressed.
+type record struct {
+	Edit   Edit   `cbor:"1,keyasint"`
+	Packed []byte `cbor:"2,keyasint,omitempty"`
+}
+
+// packFrom is the length from which a text is compressed.
+const packFrom = 512
+
 // Encode returns the record's data.
-func (e Edit) Encode() ([]byte, error) { return cbor.Marshal(e) }
+func (e Edit) Encode() ([]byte, error) {
+	r := record{Edit: e}
+	if len(e.Text) >= packFrom {
+		packed, err := deflate([]byte(e.Text))
+		if err != nil {
+			return nil, fmt.Errorf("settings record: %w", err)
+		}
+		r.Edit.Text, r.Packed = "", packed
+	}
+	return cbor.Marshal(r)
+}
 
 // DecodeEdit returns the edit in a record.
 func DecodeEdit(data []byte) (Edit, error) {
-	var e Edit
-	if err := cbor.Unmarshal(data, &e); err != nil {
+	var r record
+	if err := cbor.Unmarshal(data, &r); err != nil {
+		return Edit{}, fmt.Errorf("settings record: %w", err)
+	}
+	if len(r.Packed) == 0 {
+		return r.Edit, nil
+	}
+	text, err := inflate(r.Packed, MaxDocumentBytes)
+	if err != nil {
 		return Edit{}, fmt.Errorf("settings record: %w", err)
 	}
-	return e, nil
+	r.Edit.Text = string(text)
+	return r.Edit, nil
 }
 
 // Validate returns what is wrong with the edit by itself, apart from its text.
--- a/settings/machine_test.go
+++ b/settings/machine_test.go
@@ -1,10 +1,12 @@
 package settings
 
 import (
+	"errors"
 	"maps"
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"pgregory.net/rapid"
 
 	"github.com/peridotlock/peridotlock/fleet"
@@ -42,6 +44,32 @@
 	return platform.Record{Offset: at, ID: "id-" + time.Duration(at).String(), Time: time.Unix(int64(at), 5), Data: data}
 }
 
+func TestRecordsPackLongTexts(t *testing.T) {
+	want := Edit{Branch: "a", Author: "ana", Operation: Replace, Text: benchTree(2 * benchTeams)}
+	data, err := want.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := DecodeEdit(data)
+	if err != nil || got != want {
+		t.Fatalf("%+v, %v", got, err)
+	}
+	if len(data) > len(want.Text)/4 {
+		t.Fatalf("a record of %d bytes for a text of %d", len(data), len(want.Text))
+	}
+	bomb, err := deflate(make([]byte, MaxDocumentBytes+1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	data, err = cbor.Marshal(record{Packed: bomb})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := DecodeEdit(data); !errors.Is(err, errTooLarge) {
+		t.Fatalf("%v", err)
+	}
+}
+
 func restored(t *rapid.T, m *Machine) *Machine {
 	data, err := m.Snapshot()
 	if err != nil {
