Wait for a queue's new owner when a job is submitted; keep late answers away

Cause 1: for some seconds after a start or the loss of a node a queue has no owner, and submissions were refused; true, but left to the operator. Now the scheduler that took the submission waits up to 8 s for the owner. Cause 2: the race detector found net/rpc decoding an answer into the caller's reply after the call's deadline (TestOwners). The client now hands net/rpc a value of its own and copies it on success; a write to a peer that takes nothing ends after 1 s. Ruled out: waiting while the log is down; such a submission is refused at once. Conclusion: submissions survive a change of owners.

--- a/queue/client.go
+++ b/queue/client.go
@@ -24,6 +24,10 @@
 // ErrUnknownJob says that the queue has no such job; it wraps ErrNotDone.
 var ErrUnknownJob = fmt.Errorf("%w: unknown job", ErrNotDone)
 
+// ErrNotOwned says that the queue has no owner that can answer yet, as for some
+// seconds after a node was lost; it wraps ErrNotDone.
+var ErrNotOwned = fmt.Errorf("%w: the queue has no owner that is ready", ErrNotDone)
+
 // Client forwards calls to the owner of the queue that they are about. Each
 // error wraps ErrNotDone or ErrOutcomeUnknown.
 type Client struct {
@@ -83,14 +87,16 @@
 func (c *Client) call(ctx context.Context, queue fleet.Path, method string, args, reply any) error {
 	_, addr, ok := c.directory.Owner(ownership.Unit{Kind: ownership.Queue, Path: queue})
 	if !ok {
-		return fmt.Errorf("%w: queue %s has no owner", ErrNotDone, queue)
+		return fmt.Errorf("%w: %s", ErrNotOwned, queue)
 	}
 	err := c.pool.Client(addr).Call(ctx, ServiceName+"."+method, args, reply)
 	var served rpc.ServerError
 	switch {
 	case err == nil:
 		return nil
-	case errors.Is(err, wire.ErrNotSent), errors.As(err, &served):
+	case errors.Is(err, wire.ErrNotSent) && !errors.Is(err, wire.ErrBusy):
+		return fmt.Errorf("%w: %w", ErrNotOwned, err)
+	case errors.Is(err, wire.ErrBusy), errors.As(err, &served):
 		return fmt.Errorf("%w: %w", ErrNotDone, err)
 	}
 	return fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
@@ -100,6 +106,8 @@
 	switch code {
 	case OK:
 		return nil
+	case NotOwner, NotReady:
+		return fmt.Errorf("%w: %s", ErrNotOwned, code)
 	case InDoubt:
 		return fmt.Errorf("%w: %s", ErrOutcomeUnknown, detail)
 	case Invalid:
--- a/scheduler/commands.go
+++ b/scheduler/commands.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"time"
 
 	"github.com/peridotlock/peridotlock/api/command"
 	"github.com/peridotlock/peridotlock/api/problem"
@@ -15,6 +16,11 @@
 	"github.com/peridotlock/peridotlock/stream"
 )
 
+const (
+	ownerPatience = 8 * time.Second        // for a queue to get an owner
+	ownerRetry    = 200 * time.Millisecond // between looks for it
+)
+
 // publisher implements command.Settings.
 type publisher struct{ s *Scheduler }
 
@@ -74,12 +80,28 @@
 	}
 	out := make([]command.Submission, len(jobs))
 	for i, spec := range jobs {
-		st, repeated, err := c.s.client.Submit(ctx, spec)
-		out[i] = submissionOf(spec, st, repeated, err)
+		out[i] = c.submit(ctx, spec)
 	}
 	return out, nil
 }
 
+// submit records one job. While the queue changes owners, it waits for the new
+// one, since the job was certainly not recorded.
+func (c jobCommands) submit(ctx context.Context, spec job.Spec) command.Submission {
+	patience := time.Now().Add(ownerPatience)
+	for {
+		st, repeated, err := c.s.client.Submit(ctx, spec)
+		if !errors.Is(err, queue.ErrNotOwned) || time.Now().After(patience) {
+			return submissionOf(spec, st, repeated, err)
+		}
+		select {
+		case <-ctx.Done():
+			return submissionOf(spec, st, repeated, err)
+		case <-time.After(ownerRetry):
+		}
+	}
+}
+
 // checkReferences finds names in jobs that the settings don't have.
 func checkReferences(v *settings.View, jobs []job.Spec) error {
 	var found finding.List
--- a/wire/client.go
+++ b/wire/client.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/rpc"
+	"reflect"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,6 +15,7 @@
 const (
 	maxInFlight = 256             // calls per peer
 	dialTimeout = 2 * time.Second // per connection
+	sendTimeout = time.Second     // per write; a peer that takes nothing is silent
 )
 
 // ErrNotSent says that the call certainly did not reach the peer.
@@ -45,7 +47,8 @@
 // Addr returns the peer's address.
 func (c *Client) Addr() string { return c.addr }
 
-// Call executes method at the peer. An error wraps ErrNotSent, wraps
+// Call executes method at the peer; reply is a pointer, which is set when the
+// call succeeds and left alone otherwise. An error wraps ErrNotSent, wraps
 // ErrUnanswered, or is an rpc.ServerError with the peer's words.
 func (c *Client) Call(ctx context.Context, method string, args, reply any) error {
 	err := c.call(ctx, method, args, reply)
@@ -70,15 +73,22 @@
 	if err != nil {
 		return fmt.Errorf("%w: connect %s: %w", ErrNotSent, c.addr, err)
 	}
-	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
+	// net/rpc may still decode an answer after the deadline, so it gets a value
+	// that the caller never sees unless the call has ended.
+	answer := reflect.New(reflect.TypeOf(reply).Elem())
+	call := client.Go(method, args, answer.Interface(), make(chan *rpc.Call, 1))
 	select {
 	case <-call.Done:
 	case <-ctx.Done():
 		c.retire(client)
 		return fmt.Errorf("%w: %s to %s: %w", ErrUnanswered, method, c.addr, ctx.Err())
 	}
+	if call.Error == nil {
+		reflect.ValueOf(reply).Elem().Set(answer.Elem())
+		return nil
+	}
 	var served rpc.ServerError
-	if call.Error == nil || errors.As(call.Error, &served) {
+	if errors.As(call.Error, &served) {
 		return call.Error
 	}
 	c.retire(client)
--- a/wire/metrics.go
+++ b/wire/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 )
@@ -19,7 +20,7 @@
 	metrics.GetOrCreateCounter(`peridotlock_peer_calls_total{method="` + method + `"}`).Inc()
 }
 
-// countedConn counts the bytes of a connection.
+// countedConn counts the bytes of a connection and bounds the time of a write.
 type countedConn struct{ net.Conn }
 
 // Read implements net.Conn.
@@ -31,6 +32,9 @@
 
 // Write implements net.Conn.
 func (c countedConn) Write(p []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(sendTimeout)); err != nil {
+		return 0, err
+	}
 	n, err := c.Conn.Write(p)
 	bytesSent.Add(n)
 	return n, err
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -29,6 +29,13 @@
 	return nil
 }
 
+// Late answers at about the deadline of the test.
+func (e *echo) Late(a EchoArgs, r *EchoReply) error {
+	time.Sleep(20 * time.Millisecond)
+	r.Text = a.Text
+	return nil
+}
+
 func TestCall(t *testing.T) {
 	Convey("Given a server on loopback", t, func() {
 		ctx, cancel := context.WithCancel(context.Background())
@@ -67,6 +74,16 @@
 			So(errors.Is(err, ErrUnanswered), ShouldBeTrue)
 			So(client.Call(ctx, "Echo.Say", EchoArgs{"c"}, &r), ShouldBeNil)
 		})
+		Convey("an answer after the deadline is never written to the caller's reply", func() {
+			short, stop := context.WithTimeout(ctx, 20*time.Millisecond)
+			defer stop()
+			r := EchoReply{Text: "untouched"}
+			err := client.Call(short, "Echo.Late", EchoArgs{"late"}, &r)
+			So(errors.Is(err, ErrUnanswered), ShouldBeTrue)
+			for range 1000 {
+				So(r.Text, ShouldEqual, "untouched")
+			}
+		})
 		Convey("a closed port means not sent", func() {
 			gone, err := net.Listen("tcp", "127.0.0.1:0")
 			So(err, ShouldBeNil)
