Accept paths with a leading slash; count the bytes of records

Cause: the client prints paths with a leading slash and refused them as input. Change: one function reads paths; edited documents keep the indentation of published ones; the benchmark reports the bytes of records.

--- a/daemon/ctl/ctl_test.go
+++ b/daemon/ctl/ctl_test.go
@@ -135,7 +135,7 @@
 		So(code, ShouldEqual, ExitOK)
 
 		Convey("a failure domain leaves and returns", func() {
-			code, _ := c.run("failure-domain", "take-out", "zavod/kontinent/zagreb-a", "--wait", "7s")
+			code, _ := c.run("failure-domain", "take-out", "/zavod/kontinent/zagreb-a", "--wait", "7s")
 			So(code, ShouldEqual, ExitOK)
 			_, out := c.run("failure-domain", "list")
 			So(out, ShouldContainSubstring, "zavod/kontinent/zagreb-a       zavod/kontinent     out\n")
--- a/daemon/ctl/diff.go
+++ b/daemon/ctl/diff.go
@@ -8,7 +8,6 @@
 
 	"github.com/peridotlock/peridotlock/api/query"
 	"github.com/peridotlock/peridotlock/finding"
-	"github.com/peridotlock/peridotlock/fleet"
 )
 
 type diffCommand struct {
@@ -36,7 +35,7 @@
 // Run prints the difference.
 func (c *diffCommand) Run(s *session) error {
 	var found finding.List
-	before, err := s.client.Document(s.ctx, fleet.Path(c.Branch), offset(&found, "--from", c.From, query.Present))
+	before, err := s.client.Document(s.ctx, branchPath(c.Branch), offset(&found, "--from", c.From, query.Present))
 	if err != nil {
 		return err
 	}
@@ -54,7 +53,7 @@
 		return string(data), err
 	}
 	var found finding.List
-	doc, err := s.client.Document(s.ctx, fleet.Path(c.Branch), offset(&found, "--to", c.To, query.Present))
+	doc, err := s.client.Document(s.ctx, branchPath(c.Branch), offset(&found, "--to", c.To, query.Present))
 	return doc.Text, err
 }
 
--- a/daemon/ctl/domain.go
+++ b/daemon/ctl/domain.go
@@ -5,7 +5,6 @@
 	"io"
 
 	"github.com/peridotlock/peridotlock/api/query"
-	"github.com/peridotlock/peridotlock/fleet"
 	"github.com/peridotlock/peridotlock/settings"
 )
 
@@ -36,11 +35,12 @@
 }
 
 func (s *session) mark(f *editFlags, path string, operation settings.Operation) error {
-	doc, err := s.client.Document(s.ctx, fleet.Path(path), query.Present)
+	branch := branchPath(path)
+	doc, err := s.client.Document(s.ctx, branch, query.Present)
 	if err != nil {
 		return err
 	}
-	return s.publish(f, settings.Edit{Branch: fleet.Path(path), Base: doc.Base, Operation: operation})
+	return s.publish(f, settings.Edit{Branch: branch, Base: doc.Base, Operation: operation})
 }
 
 type domainListCommand struct{}
--- a/daemon/ctl/edit.go
+++ b/daemon/ctl/edit.go
@@ -1,6 +1,7 @@
 package ctl
 
 import (
+	"errors"
 	"fmt"
 	"slices"
 	"strings"
@@ -9,7 +10,6 @@
 
 	"github.com/peridotlock/peridotlock/api/query"
 	"github.com/peridotlock/peridotlock/finding"
-	"github.com/peridotlock/peridotlock/fleet"
 	"github.com/peridotlock/peridotlock/settings"
 )
 
@@ -40,7 +40,7 @@
 
 // Run reads the branch, changes the keys and publishes the result.
 func (c *editCommand) Run(s *session) error {
-	path := fleet.Path(strings.TrimPrefix(c.Branch, "/"))
+	path := branchPath(c.Branch)
 	doc, err := s.client.Document(s.ctx, path, query.Present)
 	if err != nil {
 		return err
@@ -72,8 +72,19 @@
 			return "", err
 		}
 	}
-	out, err := yaml.Marshal(root)
-	return string(out), err
+	return encodeYAML(root)
+}
+
+const yamlIndent = 2
+
+func encodeYAML(n *yaml.Node) (string, error) {
+	var buf strings.Builder
+	enc := yaml.NewEncoder(&buf)
+	enc.SetIndent(yamlIndent)
+	if err := errors.Join(enc.Encode(n), enc.Close()); err != nil {
+		return "", fmt.Errorf("write the document: %w", err)
+	}
+	return buf.String(), nil
 }
 
 // setKey sets the value at a key such as "policy.tasks.lease" and makes the
--- a/daemon/ctl/flag.go
+++ b/daemon/ctl/flag.go
@@ -9,6 +9,7 @@
 	"github.com/alecthomas/kong"
 
 	"github.com/peridotlock/peridotlock/finding"
+	"github.com/peridotlock/peridotlock/fleet"
 	"github.com/peridotlock/peridotlock/platform"
 )
 
@@ -72,6 +73,9 @@
 	return outputText
 }
 
+// branchPath reads a path; a leading slash and the root as "/" are allowed.
+func branchPath(text string) fleet.Path { return fleet.Path(strings.Trim(text, "/")) }
+
 // offset reads a revision; an empty text is absent.
 func offset(found *finding.List, flag, text string, absent platform.Offset) platform.Offset {
 	if text == "" {
--- a/daemon/ctl/job.go
+++ b/daemon/ctl/job.go
@@ -11,7 +11,6 @@
 	"github.com/peridotlock/peridotlock/api/problem"
 	"github.com/peridotlock/peridotlock/api/query"
 	"github.com/peridotlock/peridotlock/finding"
-	"github.com/peridotlock/peridotlock/fleet"
 	"github.com/peridotlock/peridotlock/job"
 )
 
@@ -139,7 +138,7 @@
 // Run prints the jobs.
 func (c *listCommand) Run(s *session) error {
 	var found finding.List
-	filter := query.JobFilter{Team: fleet.Path(c.Team), State: job.State(c.State), Limit: count(&found, "--limit", c.Limit, 1, 1000)}
+	filter := query.JobFilter{Team: branchPath(c.Team), State: job.State(c.State), Limit: count(&found, "--limit", c.Limit, 1, 1000)}
 	list, err := s.client.List(s.ctx, filter)
 	if err != nil {
 		return err
--- a/daemon/ctl/settings.go
+++ b/daemon/ctl/settings.go
@@ -69,7 +69,7 @@
 	case c.Branch == "":
 		found = append(found, settings.Check(c.File, data)...)
 	default:
-		found = append(found, settings.CheckBranch(fleet.Path(c.Branch), c.File, data)...)
+		found = append(found, settings.CheckBranch(branchPath(c.Branch), c.File, data)...)
 	}
 	return found
 }
@@ -80,7 +80,7 @@
 	if err != nil {
 		return finding.List{{File: c.File, Message: err.Error()}}
 	}
-	e := settings.Edit{Branch: fleet.Path(c.Branch), Operation: settings.Replace, File: c.File, Text: string(data)}
+	e := settings.Edit{Branch: branchPath(c.Branch), Operation: settings.Replace, File: c.File, Text: string(data)}
 	if e.Base, err = c.base(s, e); err != nil {
 		return err
 	}
@@ -129,7 +129,7 @@
 		return c.effective(s)
 	}
 	var found finding.List
-	doc, err := s.client.Document(s.ctx, fleet.Path(c.Branch), offset(&found, "--revision", c.Revision, query.Present))
+	doc, err := s.client.Document(s.ctx, branchPath(c.Branch), offset(&found, "--revision", c.Revision, query.Present))
 	if err != nil {
 		return err
 	}
@@ -146,7 +146,7 @@
 }
 
 func (c *showCommand) effective(s *session) error {
-	path := fleet.Path(strings.TrimPrefix(c.Effective, "/"))
+	path := branchPath(c.Effective)
 	values, err := s.client.Effective(s.ctx, path)
 	if err != nil {
 		return err
@@ -209,7 +209,7 @@
 // Run publishes the revert.
 func (c *revertCommand) Run(s *session) error {
 	var found finding.List
-	path := fleet.Path(strings.TrimPrefix(c.Branch, "/"))
+	path := branchPath(c.Branch)
 	base, err := s.presentBase(path)
 	if err != nil {
 		return err
--- a/settings/bench_test.go
+++ b/settings/bench_test.go
@@ -121,6 +121,15 @@
 	return float64(len(data))
 }
 
+func recordBytes(b *testing.B, e Edit) float64 {
+	e.Author = "ana"
+	data, err := e.Encode()
+	if err != nil {
+		b.Fatal(err)
+	}
+	return float64(len(data))
+}
+
 // BenchmarkState reports the bytes of a machine, in memory and in a snapshot,
 // and how they grow with branches and with changes.
 func BenchmarkState(b *testing.B) {
@@ -145,4 +154,7 @@
 	b.ReportMetric(one, "snapshot-bytes")
 	b.ReportMetric((snapshotBytes(b, benchMachine(b, moreTeams))-one)/(moreTeams-benchTeams), "snapshot-bytes/branch")
 	b.ReportMetric((snapshotBytes(b, edited())-one)/changes, "snapshot-bytes/change")
+	b.ReportMetric(recordBytes(b, Edit{Text: benchTree(benchTeams)}), "record-bytes/tree")
+	b.ReportMetric(recordBytes(b, teamEdit(1)), "record-bytes/team")
+	b.ReportMetric(recordBytes(b, Edit{Branch: "org/region-0/domain-0", Operation: TakeOut}), "record-bytes/mark")
 }
