Tell the outcome by the exit code; never call no processes in force

Cause: a submission with an unknown outcome was accepted in the JSON form, and an empty list of processes would have counted as in force everywhere. Change: the outcome follows from the code; in force needs a process.

--- a/daemon/ctl/output.go
+++ b/daemon/ctl/output.go
@@ -51,6 +51,17 @@
 // Unwrap returns the cause.
 func (e *exitError) Unwrap() error { return e.err }
 
+// outcome returns what became of the command that ended with the code.
+func (e *exitError) outcome() problem.Outcome {
+	switch e.code {
+	case ExitNotInForce:
+		return problem.Accepted
+	case ExitUnreachable:
+		return problem.Unknown
+	}
+	return problem.Refused
+}
+
 // failure is the JSON form of an error.
 type failure struct {
 	Error   string           `json:"error"`
@@ -91,7 +102,7 @@
 	var lost *lostError
 	switch {
 	case errors.As(err, &exit):
-		return failure{Error: err.Error(), Code: exit.code, Outcome: problem.Accepted}
+		return failure{Error: err.Error(), Code: exit.code, Outcome: exit.outcome()}
 	case errors.As(err, &found):
 		return failure{Error: found.Error(), Code: ExitBadInput, Outcome: problem.Refused, Finding: found}
 	case errors.As(err, &unreachable):
--- a/daemon/ctl/publish.go
+++ b/daemon/ctl/publish.go
@@ -146,7 +146,7 @@
 		if err == nil {
 			last = &state
 		}
-		if err == nil && state.Complete {
+		if err == nil && state.Complete && len(state.VMs) > 0 {
 			return last, nil
 		}
 		select {
