Tell a task that had to run again from one that finished twice

Cause: the workers script failed once with a double finish: a VM died after its task had finished and before its owner could record it, so nobody could know. Two scripts failed because an outgoing connection had taken a port that was free when it was reserved. Ruled out: counting no second finish at all; an end that the owner has settled, or one on a VM that lives, still counts. Change: Machine tells of unsettled ends at the death of its VM and the ledger marks these runs; ports come from below the range of outgoing connections.

--- a/demo/cluster.go
+++ b/demo/cluster.go
@@ -5,7 +5,6 @@
 	_ "embed" // settings tree
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -15,6 +14,7 @@
 	"github.com/peridotlock/peridotlock/fleet"
 	"github.com/peridotlock/peridotlock/standin"
 	"github.com/peridotlock/peridotlock/standin/caller"
+	"github.com/peridotlock/peridotlock/standin/loopback"
 )
 
 //go:embed settings.yaml
@@ -71,7 +71,7 @@
 	if err != nil {
 		return err
 	}
-	addrs, err := freeAddresses(4 * len(domains))
+	addrs, err := loopback.Addresses(4 * len(domains))
 	if err != nil {
 		return err
 	}
@@ -196,18 +196,3 @@
 	}
 	return out
 }
-
-// freeAddresses returns loopback addresses that were free just now. All are
-// held until the last is known, so that no two are alike.
-func freeAddresses(n int) ([]string, error) {
-	var out []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, err
-		}
-		defer l.Close()
-		out = append(out, l.Addr().String())
-	}
-	return out, nil
-}
--- a/standin/ledger/ledger_test.go
+++ b/standin/ledger/ledger_test.go
@@ -45,10 +45,17 @@
 			run("c", "v", 1, 1, 1)
 			So(l.Summary().ViolationCounts[Overcommit], ShouldEqual, 1)
 		})
+		Convey("lets a task finish again when nobody could know that it had", func() {
+			l.EndRun(first, at(1), "finished", 1, true)
+			l.LoseEnd("a", 1)
+			l.EndRun(run("a", "w", 2, 2, 3000), at(3), "finished", 1, true)
+			So(l.Summary().Violations, ShouldBeEmpty)
+		})
 		Convey("finds a task that finished twice", func() {
 			l.EndRun(first, at(1), "finished", 1, true)
 			l.EndRun(run("a", "w", 2, 2, 3000), at(3), "finished", 1, true)
 			So(l.Summary().ViolationCounts[DoubleFinish], ShouldEqual, 1)
+			So(l.Summary().TasksFinished, ShouldEqual, 1)
 		})
 	})
 }
--- a/standin/ledger/query.go
+++ b/standin/ledger/query.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"slices"
 	"time"
 
 	"github.com/peridotlock/peridotlock/fleet"
@@ -19,8 +20,9 @@
 type Summary struct {
 	Runs             int                   `json:"runs"`
 	Running          int                   `json:"running"`
-	Outcomes         map[string]int        `json:"outcomes"` // ended runs by outcome
-	Resumes          int                   `json:"resumes"`  // runs that began at a checkpoint
+	Outcomes         map[string]int        `json:"outcomes"`       // ended runs by outcome
+	TasksFinished    int                   `json:"tasks_finished"` // each counts once
+	Resumes          int                   `json:"resumes"`        // runs that began at a checkpoint
 	RunsByDomain     map[fleet.Path]int    `json:"runs_by_domain"`
 	Requests         int                   `json:"requests"`
 	Executions       int                   `json:"executions"`
@@ -44,6 +46,11 @@
 	for _, r := range l.runs {
 		s.addRun(r)
 	}
+	for _, runs := range l.byTask {
+		if slices.ContainsFunc(runs, func(r *Run) bool { return r.Finished }) {
+			s.TasksFinished++
+		}
+	}
 	for _, executions := range l.requests {
 		s.Executions += len(executions)
 		if len(executions) > 1 {
--- a/standin/worker/machine.go
+++ b/standin/worker/machine.go
@@ -22,6 +22,8 @@
 	Started(r platform.StartRequest, now, until time.Duration)
 	Renewed(ref platform.AttemptRef, until time.Duration)
 	Ended(s platform.AttemptStatus, at time.Duration)
+	// Lost tells of an attempt that ended, but was not settled when the VM failed.
+	Lost(ref platform.AttemptRef)
 }
 
 // Machine decides what a worker does. It holds no clock: each call is given
@@ -150,6 +152,7 @@
 		if a.status.State == platform.AttemptRunning {
 			m.end(a, attemptLost, m.now)
 		}
+		m.observer.Lost(a.ref())
 	}
 	m.attempts = nil
 }
--- a/standin/worker/machine_test.go
+++ b/standin/worker/machine_test.go
@@ -39,6 +39,8 @@
 	r.at[ref] = at
 }
 
+func (r *recorder) Lost(platform.AttemptRef) {}
+
 func start(task string, term platform.Offset, attempt int, cpu int64) platform.StartRequest {
 	return platform.StartRequest{
 		Task: task, Token: platform.Token{Term: term, Attempt: attempt}, Kind: "appraisal",
--- a/standin/worker/server.go
+++ b/standin/worker/server.go
@@ -200,6 +200,9 @@
 	delete(s.runs, ref)
 }
 
+// Lost implements Observer.
+func (s *Server) Lost(ref platform.AttemptRef) { s.ledger.LoseEnd(ref.Task, ref.Attempt) }
+
 func write(w http.ResponseWriter, status int, body any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
