Wait until a frozen daemon has stopped

Cause: the stand-in's script failed once: a request right after SIGSTOP was answered, since the signal takes effect on all threads only a little later. Change: freeze returns once the process state is stopped.

--- a/scenario/daemon.go
+++ b/scenario/daemon.go
@@ -55,7 +55,7 @@
 	if err != nil {
 		return err
 	}
-	return p.signal(syscall.SIGSTOP)
+	return p.freeze()
 }
 
 // thaw lets a frozen daemon go on: thaw NAME.
--- a/scenario/process.go
+++ b/scenario/process.go
@@ -5,12 +5,16 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"time"
 )
 
-// endTimeout bounds how long a program may take to end.
-const endTimeout = time.Minute
+const (
+	endTimeout    = time.Minute // for a program to end
+	freezeTimeout = 10 * time.Second
+	stoppedState  = "T" // of a process in /proc
+)
 
 // process is a daemon that a script has started.
 type process struct {
@@ -56,6 +60,24 @@
 	return p.cmd.Process.Signal(s)
 }
 
+// freeze stops all threads and returns once they have stopped.
+func (p *process) freeze() error {
+	if err := p.signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	return repeat(freezeTimeout, func() error {
+		stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
+		if err != nil {
+			return err
+		}
+		_, state, _ := strings.Cut(string(stat), ") ")
+		if !strings.HasPrefix(state, stoppedState) {
+			return fmt.Errorf("%s has not stopped: %s", p.name, stat)
+		}
+		return nil
+	})
+}
+
 func (p *process) hasEnded() bool {
 	select {
 	case <-p.done:
