Test spans, leaks and a drain under load

Change: an answer to a request that was not written to its end ends its connection; polls of the scheduler are short, so that a silent connection to it delays a change by 2 s at most; the entry closes its pools after a drain.

--- a/daemon/entry/drain.go
+++ b/daemon/entry/drain.go
@@ -50,6 +50,7 @@
 	if err := front.Shutdown(context.Background()); err != nil && !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("shut down: %w", err)
 	}
+	d.entry.Close()
 	d.log.Info("drain ends")
 	return nil
 }
--- a/daemon/entry/run_test.go
+++ b/daemon/entry/run_test.go
@@ -11,6 +11,8 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -91,36 +93,57 @@
 	go server.Serve(ctx, l)
 }
 
+// daemonBench is a running daemon in front of one endpoint.
+type daemonBench struct {
+	ctx                         context.Context
+	cancel                      func()
+	callers, operators, control string
+	ledger                      *load.Ledger
+	endpoint                    *load.Endpoint
+	ended                       chan int
+}
+
+func newDaemonBench(t *testing.T, serviceTime time.Duration) *daemonBench {
+	ctx, cancel := context.WithCancel(context.Background())
+	d := &daemonBench{
+		ctx: ctx, cancel: cancel, callers: freeAddr(), operators: freeAddr(), control: freeAddr(),
+		ledger: load.NewLedger(), ended: make(chan int, 1),
+	}
+	file := filepath.Join(t.TempDir(), "node.yaml")
+	node := fmt.Sprintf("name: entry-1\nfailure-domain: %s\ncallers: %s\nentry-operators: %s\ncontrol: %s\n"+
+		"operators: 127.0.0.1:1\nlog: [127.0.0.1:1]\nvms: [127.0.0.1:1]\ndrain-milliseconds: 300\n", domain, d.callers, d.operators, d.control)
+	So(os.WriteFile(file, []byte(node), 0o600), ShouldBeNil)
+	var err error
+	d.endpoint, err = load.NewEndpoint(load.EndpointOptions{Slots: 8, Connections: 64, ServiceTime: serviceTime, Ledger: d.ledger})
+	So(err, ShouldBeNil)
+	go func() { d.ended <- Run(ctx, []string{"--config", file}, io.Discard, io.Discard) }()
+	return d
+}
+
+func (d *daemonBench) stop() {
+	d.cancel()
+	d.endpoint.Stop()
+}
+
+func (d *daemonBench) ready() (int, string) { return get("http://" + d.operators + "/readyz") }
+
+func (d *daemonBench) scheduler() { serveScheduler(d.ctx, d.control, d.endpoint.Addr()) }
+
 func TestRun(t *testing.T) {
 	Convey("Given an entry daemon whose scheduler is not there", t, func() {
-		ctx, cancel := context.WithCancel(context.Background())
-		callers, operators, control := freeAddr(), freeAddr(), freeAddr()
-		file := filepath.Join(t.TempDir(), "node.yaml")
-		node := fmt.Sprintf("name: entry-1\nfailure-domain: %s\ncallers: %s\nentry-operators: %s\ncontrol: %s\n"+
-			"operators: 127.0.0.1:1\nlog: [127.0.0.1:1]\nvms: [127.0.0.1:1]\ndrain-milliseconds: 300\n", domain, callers, operators, control)
-		So(os.WriteFile(file, []byte(node), 0o600), ShouldBeNil)
-		ledger := load.NewLedger()
-		endpoint, err := load.NewEndpoint(load.EndpointOptions{Slots: 8, Connections: 64, ServiceTime: 800 * time.Millisecond, Ledger: ledger})
-		So(err, ShouldBeNil)
-		ended := make(chan int, 1)
-		var out, log bytes.Buffer
-		go func() { ended <- Run(ctx, []string{"--config", file}, &out, &log) }()
-		Reset(func() {
-			cancel()
-			endpoint.Stop()
-		})
-		ready := func() (int, string) { return get("http://" + operators + "/readyz") }
+		d := newDaemonBench(t, 800*time.Millisecond)
+		Reset(d.stop)
 
 		Convey("it is not ready and says why, and is ready once the scheduler answers", func() {
 			So(eventually(func() bool {
-				status, body := ready()
+				status, body := d.ready()
 				return status == 503 && strings.Contains(body, "no snapshot yet: snapshot from scheduler")
 			}), ShouldBeTrue)
-			serveScheduler(ctx, control, endpoint.Addr())
-			So(eventually(func() bool { status, _ := ready(); return status == 200 }), ShouldBeTrue)
+			d.scheduler()
+			So(eventually(func() bool { status, _ := d.ready(); return status == 200 }), ShouldBeTrue)
 
 			Convey("and a drain cuts neither a request in flight nor a watch without notice", func() {
-				watch, err := http.Get("http://" + callers + load.WatchPath)
+				watch, err := http.Get("http://" + d.callers + load.WatchPath)
 				So(err, ShouldBeNil)
 				defer watch.Body.Close()
 				reader := bufio.NewReader(watch.Body)
@@ -128,27 +151,60 @@
 				So(err, ShouldBeNil)
 				So(first, ShouldEqual, "tick 0\n")
 				answered := make(chan load.Reply, 1)
-				client := load.NewClient(5 * time.Second)
 				request := load.Request{ID: "r", Class: fleet.NonIdempotent, Body: []byte("pipe")}
 				go func() {
-					reply, _ := client.Send(context.Background(), "http://"+callers, request)
+					reply, _ := load.NewClient(5*time.Second).Send(context.Background(), "http://"+d.callers, request)
 					answered <- reply
 				}()
-				So(eventually(func() bool { return ledger.Runs("r") == 1 }), ShouldBeTrue)
-				cancel()
-				So(eventually(func() bool { status, _ := ready(); return status == 503 }), ShouldBeTrue)
-				So(load.Check(request, <-answered, ledger.Runs("r")), ShouldEqual, load.Whole)
+				So(eventually(func() bool { return d.ledger.Runs("r") == 1 }), ShouldBeTrue)
+				d.cancel()
+				So(eventually(func() bool { status, _ := d.ready(); return status == 503 }), ShouldBeTrue)
+				So(load.Check(request, <-answered, d.ledger.Runs("r")), ShouldEqual, load.Whole)
 				_, err = io.ReadAll(reader)
 				So(err, ShouldBeNil)
 				So(watch.Trailer.Get("Retry-After"), ShouldEqual, "1")
-				So(<-ended, ShouldEqual, exitOK)
-				_, err = net.Dial("tcp", callers)
+				So(<-d.ended, ShouldEqual, exitOK)
+				_, err = net.Dial("tcp", d.callers)
 				So(err, ShouldNotBeNil)
 			})
 		})
 	})
 }
 
+func TestDrainUnderLoad(t *testing.T) {
+	Convey("Given a ready daemon with many callers", t, func() {
+		d := newDaemonBench(t, 20*time.Millisecond)
+		Reset(d.stop)
+		d.scheduler()
+		So(eventually(func() bool { status, _ := d.ready(); return status == 200 }), ShouldBeTrue)
+		Convey("a drain cuts none of the requests that are sent until it is seen as not ready", func() {
+			client := load.NewClient(5 * time.Second)
+			var draining atomic.Bool
+			var pending sync.WaitGroup
+			verdicts := make(chan load.Verdict, 1<<16)
+			for worker := range 20 {
+				pending.Go(func() {
+					for i := 0; !draining.Load(); i++ {
+						r := load.Request{ID: fmt.Sprint(worker, "-", i), Class: fleet.NonIdempotent, Body: []byte("pipe")}
+						reply, _ := client.Send(context.Background(), "http://"+d.callers, r)
+						verdicts <- load.Check(r, reply, d.ledger.Runs(r.ID))
+					}
+				})
+			}
+			So(eventually(func() bool { return len(verdicts) > 100 }), ShouldBeTrue)
+			d.cancel()
+			So(eventually(func() bool { status, _ := d.ready(); return status == 503 }), ShouldBeTrue)
+			draining.Store(true)
+			pending.Wait()
+			close(verdicts)
+			for v := range verdicts {
+				So(v, ShouldEqual, load.Whole)
+			}
+			So(<-d.ended, ShouldEqual, exitOK)
+		})
+	})
+}
+
 func TestBadFile(t *testing.T) {
 	Convey("An unreadable file gives all findings and exit code 2", t, func() {
 		file := filepath.Join(t.TempDir(), "node.yaml")
--- a/entry/balance/registry.go
+++ b/entry/balance/registry.go
@@ -89,6 +89,9 @@
 	}
 }
 
+// Close forgets all endpoints.
+func (r *Registry) Close() { r.forget(nil) }
+
 // key tells a VM that came back under its name at another address apart.
 func key(vm platform.VM) string { return vm.ID + "\x00" + vm.Address }
 
--- a/entry/bench_test.go
+++ b/entry/bench_test.go
@@ -1,7 +1,6 @@
 package entry_test
 
 import (
-	"bytes"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -28,7 +27,7 @@
 			defer s.server.Close()
 			b.ReportAllocs()
 			for i := 0; b.Loop(); i++ {
-				r := httptest.NewRequest(method, path, bytes.NewReader(nil))
+				r := httptest.NewRequest(method, path, nil)
 				r.Header.Set(load.IDHeader, fmt.Sprint(i))
 				w := httptest.NewRecorder()
 				s.entry.ServeHTTP(w, r)
--- a/entry/call.go
+++ b/entry/call.go
@@ -3,8 +3,8 @@
 import (
 	"crypto/rand"
 	"encoding/hex"
-	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -78,4 +78,6 @@
 }
 
 // newAttemptID returns an id that no other attempt has.
-func newAttemptID() string { return fmt.Sprintf("%s-%x", attemptPrefix, attemptCount.Add(1)) }
+func newAttemptID() string {
+	return attemptPrefix + "-" + strconv.FormatUint(attemptCount.Add(1), 16)
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -113,6 +113,13 @@
 // EndWatches tells watches to come back elsewhere. Call it once.
 func (e *Entry) EndWatches() { close(e.drain) }
 
+// Close closes the idle connections to all endpoints. Requests in flight go on.
+func (e *Entry) Close() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.registry.Close()
+}
+
 // Metrics returns the entry's metrics.
 func (e *Entry) Metrics() *Metrics { return e.metrics }
 
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/go-logr/logr"
 	. "github.com/smartystreets/goconvey/convey"
+	"go.opentelemetry.io/otel/trace"
 	"go.opentelemetry.io/otel/trace/noop"
 
 	"github.com/peridotlock/peridotlock/entry"
@@ -39,6 +40,7 @@
 	endpoints []*load.Endpoint
 	view      *settings.View
 	client    *http.Client
+	tracer    trace.Tracer
 }
 
 type benchOptions struct {
@@ -47,10 +49,11 @@
 	service   time.Duration
 	fault     func(id string, run int) load.Fault
 	policy    func(*settings.RequestPolicy)
+	tracer    trace.Tracer
 }
 
 func newBench(o benchOptions) *bench {
-	b := &bench{ledger: load.NewLedger(), client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}}
+	b := &bench{ledger: load.NewLedger(), tracer: o.tracer, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}}
 	for range o.endpoints {
 		e, err := load.NewEndpoint(load.EndpointOptions{
 			Slots: 8, Connections: 64, ServiceTime: max(o.service, time.Millisecond), Ledger: b.ledger, Fault: o.fault,
@@ -78,9 +81,10 @@
 		}}},
 		Policies: map[fleet.Path]settings.Policy{"": policy},
 	}
-	b.entry = entry.New(entry.Options{
-		Name: "entry-1", FailureDomain: domainA, Log: logr.Discard(), Tracer: noop.NewTracerProvider().Tracer(""),
-	})
+	if b.tracer == nil {
+		b.tracer = noop.NewTracerProvider().Tracer("")
+	}
+	b.entry = entry.New(entry.Options{Name: "entry-1", FailureDomain: domainA, Log: logr.Discard(), Tracer: b.tracer})
 	b.entry.Apply(source.Snapshot{View: b.view, VMs: b.vms()})
 	b.listen()
 }
--- a/entry/pool/body.go
+++ b/entry/pool/body.go
@@ -13,7 +13,7 @@
 // one it leaves the remainder in Rest.
 func (x *Exchange) readBody(p *Pool, c *conn, resp *http.Response, stop func() bool) (*Answer, error) {
 	a := &Answer{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Close: resp.Close}
-	rest := &rest{body: resp.Body, pool: p, conn: c, stop: stop, reusable: !resp.Close}
+	rest := &rest{body: resp.Body, pool: p, conn: c, stop: stop, reusable: !resp.Close && !c.partial}
 	if resp.Body == http.NoBody {
 		rest.whole = true
 		return a, rest.Close()
--- a/entry/pool/conn.go
+++ b/entry/pool/conn.go
@@ -24,6 +24,7 @@
 	generation uint64
 	idleSince  time.Time
 	wrote      bool // a write was begun in this exchange
+	partial    bool // the request was not written to its end
 }
 
 func newConn(c net.Conn, generation uint64) *conn {
--- a/entry/pool/exchange.go
+++ b/entry/pool/exchange.go
@@ -98,6 +98,7 @@
 	if _, peekErr := c.reader.Peek(1); peekErr != nil {
 		return err
 	}
+	c.partial = true
 	return nil
 }
 
--- a/entry/source/source.go
+++ b/entry/source/source.go
@@ -17,8 +17,8 @@
 )
 
 const (
-	pollWait     = 10 * time.Second
-	answerMargin = 2 * time.Second // beyond pollWait before the connection is given up
+	pollWait     = time.Second
+	answerMargin = time.Second // beyond pollWait before the connection is given up
 	minBackoff   = 100 * time.Millisecond
 	maxBackoff   = 2 * time.Second
 	noRevision   = platform.Offset(-1)
