Lower an endpoint's limit only where it is slower than its peers

Change: the limit falls only when the endpoint is also slower than the mean of all, and not below half of the share; the two choices are distinct.

--- a/entry/balance/limit.go
+++ b/entry/balance/limit.go
@@ -9,14 +9,17 @@
 )
 
 const (
-	queueingRatio = 3.0  // of latency to the least latency that means queueing
+	queueingRatio = 3.0  // of latency to the endpoint's least latency that means queueing
+	peerRatio     = 1.5  // of latency to the mean of all endpoints that means queueing here
 	decrease      = 0.9  // of the limit on queueing
 	leastDecay    = 1e-4 // relative rise of the least latency per sample
 )
 
-// Limit bounds the requests in flight at an endpoint. It moves between 1 and
-// the share of the endpoint's slots that this entry has: down when latency
-// shows queueing, up otherwise.
+// Limit bounds the requests in flight at an endpoint. It moves between a half
+// and the whole of the share of the endpoint's slots that this entry has: down
+// when latency shows queueing at this endpoint, up otherwise. A slowdown of all
+// endpoints is no queueing, since fewer requests in flight would then only
+// lower throughput.
 type Limit struct {
 	share atomic.Int32
 	bits  atomic.Uint64 // current limit
@@ -35,8 +38,9 @@
 // Value returns the current limit, at least 1.
 func (l *Limit) Value() int32 { return max(1, int32(load(&l.bits))) }
 
-// Observe adjusts the limit by one latency, at now.
-func (l *Limit) Observe(d time.Duration, now time.Time) {
+// Observe adjusts the limit by one latency at now; mean is that of all
+// endpoints.
+func (l *Limit) Observe(d, mean time.Duration, now time.Time) {
 	s := d.Seconds()
 	least := load(&l.least)
 	if least == 0 || s < least {
@@ -44,16 +48,16 @@
 		return
 	}
 	store(&l.least, least*(1+leastDecay))
-	limit := load(&l.bits)
-	if s < queueingRatio*least {
-		store(&l.bits, math.Min(float64(l.share.Load()), limit+1/math.Max(limit, 1)))
+	limit, share := load(&l.bits), float64(l.share.Load())
+	if s < queueingRatio*least || s < peerRatio*mean.Seconds() {
+		store(&l.bits, math.Min(share, limit+1/math.Max(limit, 1)))
 		return
 	}
 	until := l.until.Load()
 	if now.UnixNano() < until || !l.until.CompareAndSwap(until, now.Add(d).UnixNano()) {
 		return
 	}
-	store(&l.bits, math.Max(1, limit*decrease))
+	store(&l.bits, math.Max(share/2, limit*decrease))
 }
 
 // Share returns the part of slots that belongs to self, which is one of the live
--- a/entry/balance/set.go
+++ b/entry/balance/set.go
@@ -113,7 +113,8 @@
 	if n == 0 {
 		return nil
 	}
-	first, second := list[rand.IntN(n)], list[rand.IntN(n)]
+	i := rand.IntN(n)
+	first, second := list[i], list[(i+1+rand.IntN(max(1, n-1)))%n]
 	if second.endpoint.cost(second.distance) < first.endpoint.cost(first.distance) {
 		first, second = second, first
 	}
--- a/entry/balance/verdict.go
+++ b/entry/balance/verdict.go
@@ -10,7 +10,7 @@
 // Learn records the latency d of an answer of e.
 func (s *Set) Learn(e *Endpoint, d time.Duration, now time.Time) {
 	e.Latency.Observe(d)
-	e.Limit.Observe(d, now)
+	e.Limit.Observe(d, s.Latency.Mean(), now)
 	s.Latency.Observe(d)
 }
 
