ownership, relay, wire: bounded moves, list from the reader, shorter messages

Cause: every node read the whole list of VMs and polled a peer for two streams at the same pace; a view at a peer could pass 2 s of age though all was well. Ruled out: longer waits alone; the age at a peer adds up over both hops. Change: Age of a feed is taken at receipt of the request; ownership is polled at 2 s; headers as arrays; the list goes through the reader of the failure domain; nodes on probation get no units; only a leaving node gives up its units.

--- a/membership/gossip.go
+++ b/membership/gossip.go
@@ -16,12 +16,12 @@
 // first, each in a bounded number of messages. If the peer is not known as live,
 // the verdict on it is always among them, so that it can refute it.
 func (t *Table) Updates(peer string) []Update {
-	out := []Update{t.members[t.self].update()}
+	var out []Update
 	if e, ok := t.members[peer]; ok && e.State >= Suspect {
 		out = append(out, e.update())
 	}
 	for _, id := range t.freshest() {
-		if id != t.self && id != peer {
+		if id != peer {
 			out = append(out, t.members[id].update())
 		}
 		t.spend(id)
--- a/membership/service.go
+++ b/membership/service.go
@@ -9,16 +9,16 @@
 // ServiceName is the name of the net/rpc service.
 const ServiceName = "Membership"
 
-// ProbeArgs asks whether the peer lives. Updates starts with the caller itself.
+// ProbeArgs asks whether the peer lives.
 type ProbeArgs struct {
 	From    string   `cbor:"1,keyasint"`
-	Updates []Update `cbor:"2,keyasint"`
+	Updates []Update `cbor:"2,keyasint,omitempty"`
 	Digest  uint64   `cbor:"3,keyasint"` // of the caller's view
 }
 
 // ProbeReply is the answer to a probe.
 type ProbeReply struct {
-	Updates []Update `cbor:"1,keyasint"`
+	Updates []Update `cbor:"1,keyasint,omitempty"`
 }
 
 // ConfirmArgs asks the peer to probe a third member.
--- a/membership/table.go
+++ b/membership/table.go
@@ -204,12 +204,13 @@
 	t.set(e, u.State, now)
 }
 
-// refute answers a verdict on this node with a higher incarnation.
+// refute answers a verdict on this node with a higher incarnation, and tells
+// the present one again when the verdict was refuted before.
 func (t *Table) refute(e *entry, u Update, now time.Time) {
-	if u.Incarnation < e.Incarnation || u.State < Suspect {
+	if u.State < Suspect {
 		return
 	}
-	e.Incarnation = u.Incarnation + 1
+	e.Incarnation = max(e.Incarnation, u.Incarnation+1)
 	t.set(e, e.State, now)
 }
 
--- a/ownership/plan.go
+++ b/ownership/plan.go
@@ -59,7 +59,7 @@
 // Plan returns the records that the node should append now.
 func (p *Planner) Plan(s Situation, now time.Time) []Record {
 	p.noteMembers(s.Members, now)
-	r := newRound(s)
+	r := newRound(s, now)
 	var out []Record
 	stable := true
 	for _, u := range s.Units {
@@ -158,11 +158,17 @@
 	canHold bool           // this node may get units
 }
 
-func newRound(s Situation) *round {
-	r := &round{s: s, members: make(map[string]membership.Member), load: make(map[string]int)}
+func newRound(s Situation, now time.Time) *round {
+	n := len(s.Members)
+	r := &round{
+		s:       s,
+		members: make(map[string]membership.Member, n),
+		load:    make(map[string]int, n),
+		live:    make([]membership.Member, 0, n),
+	}
 	for _, m := range s.Members {
 		r.members[m.ID] = m
-		if m.State == membership.Live {
+		if m.State == membership.Live && !now.Before(m.Probation) {
 			r.live = append(r.live, m)
 		}
 	}
@@ -186,7 +192,7 @@
 // planOwn releases a unit if this node is leaving, and claims it anew if an
 // earlier process of this node won it, so that no two processes share a term.
 func (r *round) planOwn(h Holding) Record {
-	if !r.canHold {
+	if r.members[r.s.Self].State == membership.Leaving {
 		return Record{Op: OpRelease, Unit: h.Unit, Node: r.s.Self, Supersedes: h.Claim.Term}
 	}
 	if term, ok := r.s.Own[h.Unit]; !ok || term != h.Claim.Term {
@@ -267,6 +273,9 @@
 func (r *round) shouldMove(u PlacedUnit) bool {
 	self := r.candidate(r.members[r.s.Self], u)
 	over := r.load[r.s.Self] > r.limit
+	if self.distance == 0 && !over {
+		return false
+	}
 	return slices.ContainsFunc(r.live, func(m membership.Member) bool {
 		if m.ID == r.s.Self {
 			return false
--- a/relay/message.go
+++ b/relay/message.go
@@ -75,3 +75,15 @@
 type AcksReply struct {
 	Acks []Ack `cbor:"1,keyasint"`
 }
+
+// ListArgs asks for the list of VMs, unless it has the given hash.
+type ListArgs struct {
+	Hash uint64 `cbor:"1,keyasint"` // 0 for none
+}
+
+// ListReply is the answer. VMs is nil when the list did not change.
+type ListReply struct {
+	VMs  []platform.VM `cbor:"1,keyasint,omitempty"`
+	Hash uint64        `cbor:"2,keyasint"`
+	AsOf int64         `cbor:"3,keyasint"` // ns since 1970
+}
--- a/relay/server.go
+++ b/relay/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"strings"
@@ -35,6 +36,8 @@
 	changed chan struct{}
 }
 
+var errNoList = errors.New("no list of VMs is known yet")
+
 type ackKey struct{ node, process string }
 
 // NewServer returns a server of the replicas given. Age says how long ago the
@@ -66,6 +69,9 @@
 // SetVMs publishes the list of VMs. One that is older than the present one is
 // ignored.
 func (s *Server) SetVMs(list platform.VMSnapshot) error {
+	if s.isKnown(list) {
+		return nil
+	}
 	vms := slices.Clone(list.VMs)
 	slices.SortFunc(vms, func(a, b platform.VM) int { return strings.Compare(a.ID, b.ID) })
 	data, err := cbor.Marshal(vms)
@@ -85,6 +91,13 @@
 	return nil
 }
 
+// isKnown reports whether a list is no newer than the present one.
+func (s *Server) isKnown(list platform.VMSnapshot) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !list.AsOf.After(s.asOf)
+}
+
 func (s *Server) notify() {
 	close(s.changed)
 	s.changed = make(chan struct{})
@@ -168,6 +181,20 @@
 	return nil
 }
 
+// List returns the list of VMs if it differs from what the peer holds.
+func (v *Service) List(a ListArgs, r *ListReply) error {
+	v.s.mu.Lock()
+	defer v.s.mu.Unlock()
+	if v.s.asOf.IsZero() {
+		return errNoList
+	}
+	r.AsOf, r.Hash = v.s.asOf.UnixNano(), v.s.hash
+	if a.Hash != v.s.hash {
+		r.VMs = v.s.vms
+	}
+	return nil
+}
+
 // Acks returns which revisions the processes at this scheduler have in force.
 func (v *Service) Acks(_ AcksArgs, r *AcksReply) error {
 	r.Acks = v.s.Acks()
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -85,7 +85,7 @@
 	s.follow = s.newReplica(stream.SettingsStream, s.settings, s.peer)
 	s.ownership = s.newReplica(stream.OwnershipStream, s.claims, s.peer)
 	self := membership.Update{ID: s.o.Node.Name, FailureDomain: s.o.Node.FailureDomain, Control: s.o.Node.Control}
-	s.members = membership.NewProber(self, s.o.VMs.VMs, membership.PoolTransport{Pool: s.pool}, membership.ProberOptions{
+	s.members = membership.NewProber(self, relay.NewLister(s.o.VMs, s.pool, s.listReader).VMs, membership.PoolTransport{Pool: s.pool}, membership.ProberOptions{
 		Options: membership.Options{Region: s.region},
 		Logger:  s.log,
 	})
@@ -124,9 +124,17 @@
 }
 
 func (s *Scheduler) newReplica(name string, m stream.Machine, peer func() stream.Source) *stream.Replica {
-	return stream.NewReplica(s.o.Log, name, m, stream.ReplicaOptions{Peer: peer, Logger: s.log})
+	o := stream.ReplicaOptions{Peer: peer, Logger: s.log}
+	if name != stream.SettingsStream {
+		o.Wait, o.PeerWait = relaxedWait, relaxedWait
+	}
+	return stream.NewReplica(s.o.Log, name, m, o)
 }
 
+// relaxedWait is the longest wait of a read where the age of the view decides
+// nothing within seconds.
+const relaxedWait = 2 * time.Second
+
 // Listeners are the sockets of a scheduler.
 type Listeners struct {
 	Control   net.Listener // net/rpc of peers and of the entry
--- a/scheduler/view.go
+++ b/scheduler/view.go
@@ -80,6 +80,16 @@
 	return nil
 }
 
+// listReader returns the address of the node that reads the list of VMs for
+// this failure domain, or "" when that is this node or unknown.
+func (s *Scheduler) listReader() string {
+	reader, _ := s.readers()
+	if reader.ID == s.o.Node.Name {
+		return ""
+	}
+	return reader.Control
+}
+
 // readers returns the first live node of this failure domain and the first
 // other live node anywhere.
 func (s *Scheduler) readers() (reader, anyone membership.Member) {
--- a/stream/follow.go
+++ b/stream/follow.go
@@ -34,7 +34,7 @@
 	if r.stepPeer(ctx) {
 		return nil
 	}
-	return r.stepFrom(ctx, r.log)
+	return r.stepFrom(ctx, r.log, r.o.Wait)
 }
 
 func (r *Replica) stepPeer(ctx context.Context) bool {
@@ -45,8 +45,8 @@
 	if peer == nil {
 		return false
 	}
-	err := r.stepFrom(ctx, peer)
-	if err == nil && r.Age(time.Now()) <= r.o.Wait+maxPeerAge {
+	err := r.stepFrom(ctx, peer, r.o.PeerWait)
+	if err == nil && r.Age(time.Now()) <= 2*r.o.Wait+r.o.PeerWait+maxPeerAge {
 		return true
 	}
 	r.peerAfter = time.Now().Add(peerRetry)
@@ -54,12 +54,12 @@
 	return false
 }
 
-func (r *Replica) stepFrom(ctx context.Context, s Source) error {
+func (r *Replica) stepFrom(ctx context.Context, s Source, wait time.Duration) error {
 	from := r.Next()
 	sent := time.Now()
-	ctx, cancel := context.WithTimeout(ctx, r.o.Wait+readMargin)
+	ctx, cancel := context.WithTimeout(ctx, wait+readMargin)
 	defer cancel()
-	feed, err := s.Read(ctx, r.name, from, r.o.Batch, r.o.Wait)
+	feed, err := s.Read(ctx, r.name, from, r.o.Batch, wait)
 	if errors.Is(err, platform.ErrTrimmed) {
 		return r.search(ctx, s, feed.Batch)
 	}
--- a/stream/replica.go
+++ b/stream/replica.go
@@ -12,17 +12,21 @@
 )
 
 const (
-	defaultWait  = 700 * time.Millisecond // of a long poll
-	defaultBatch = 512                    // records of a read
-	readMargin   = 3 * time.Second        // beyond the wait of a read
-	peerRetry    = 5 * time.Second        // before a silent peer is asked again
-	maxPeerAge   = 3 * time.Second        // beyond the wait; an older peer is passed over
+	defaultWait     = 400 * time.Millisecond // of a long poll of the log
+	defaultPeerWait = time.Second            // of a long poll of a peer
+	defaultBatch    = 512                    // records of a read
+	readMargin      = 3 * time.Second        // beyond the wait of a read
+	peerRetry       = 5 * time.Second        // before a silent peer is asked again
+	maxPeerAge      = 3 * time.Second        // beyond the waits; an older peer is passed over
 )
 
 // ReplicaOptions adjusts a Replica; zero values stand for defaults.
 type ReplicaOptions struct {
-	// Wait is the longest a read waits for a record. It bounds Age from below.
-	Wait time.Duration
+	// Wait and PeerWait are the longest that a read of the log and of a peer
+	// waits for a record. While all is well, Age stays below twice Wait, and at
+	// a peer below twice Wait and PeerWait, plus the time of the answers.
+	Wait     time.Duration
+	PeerWait time.Duration
 	// Batch is the most records of one read.
 	Batch int
 	// Peer returns the peer to follow instead of the log, or nil for the log.
@@ -60,6 +64,9 @@
 	if o.Wait <= 0 {
 		o.Wait = defaultWait
 	}
+	if o.PeerWait <= 0 {
+		o.PeerWait = defaultPeerWait
+	}
 	if o.Batch <= 0 {
 		o.Batch = defaultBatch
 	}
--- a/stream/serve.go
+++ b/stream/serve.go
@@ -17,23 +17,24 @@
 // on, or a snapshot when they are no longer held. It waits up to wait while
 // there is nothing new.
 func (r *Replica) Serve(ctx context.Context, from platform.Offset, limit int, wait time.Duration) (Feed, error) {
+	received := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	for {
 		changed := r.Changed()
-		feed, err := r.feed(from, limit)
+		feed, err := r.feed(from, limit, received)
 		if err != nil || feed.Batch.Next > from {
 			return feed, err
 		}
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return r.feed(from, limit)
+			return r.feed(from, limit, received)
 		}
 	}
 }
 
-func (r *Replica) feed(from platform.Offset, limit int) (Feed, error) {
+func (r *Replica) feed(from platform.Offset, limit int, received time.Time) (Feed, error) {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	if !r.ready {
@@ -42,7 +43,7 @@
 	next := r.applier.next
 	f := Feed{
 		Batch: platform.Batch{First: r.tail.start, Next: next, End: max(r.end, next)},
-		Age:   r.age(time.Now()),
+		Age:   received.Sub(r.fresh),
 	}
 	if from >= next {
 		return f, nil
--- a/stream/source.go
+++ b/stream/source.go
@@ -8,10 +8,11 @@
 )
 
 // Feed is what a source knows of a stream from some offset on. Records left
-// out below Next have no effect on any reader.
+// out below Next have no effect on any reader. Age is negative when the source
+// learned that it has everything while the request waited.
 type Feed struct {
 	Batch    platform.Batch `cbor:"1,keyasint"`
-	Age      time.Duration  `cbor:"2,keyasint"` // since the source last had everything
+	Age      time.Duration  `cbor:"2,keyasint"` // from when the source last had everything to when it got the request
 	Snapshot []byte         `cbor:"3,keyasint"` // instead of records that the source no longer holds
 }
 
--- a/stream/stream_test.go
+++ b/stream/stream_test.go
@@ -140,6 +140,30 @@
 		})
 }
 
+func TestAgeAtPeer(t *testing.T) {
+	inBubble(t, "A replica that follows a peer stays fresh enough to start tasks, and no log is read for it", WriterOptions{},
+		func(ctx context.Context, log *faultLog, _ *LogWriter) {
+			const limit = 2 * time.Second // default age of a view that allows a start
+			first, _ := follow(ctx, log)
+			time.Sleep(time.Second)
+			peer := SourceFunc(func(ctx context.Context, _ string, from platform.Offset, limit int, wait time.Duration) (Feed, error) {
+				time.Sleep(2 * latency)
+				return first.Serve(ctx, from, limit, wait)
+			})
+			asked := 0
+			second := NewReplica(log, name, &listMachine{}, ReplicaOptions{Peer: func() Source { asked++; return peer }})
+			go second.Run(ctx)
+			time.Sleep(5 * time.Second)
+			var oldest time.Duration
+			for range 400 {
+				time.Sleep(50 * time.Millisecond)
+				oldest = max(oldest, second.Age(time.Now()))
+			}
+			So(oldest, ShouldBeLessThan, limit)
+			So(asked, ShouldBeLessThan, 40)
+		})
+}
+
 func TestBudget(t *testing.T) {
 	inBubble(t, "Given a budget of 10 appends a second", WriterOptions{AppendsPerSecond: 10},
 		func(ctx context.Context, log *faultLog, w *LogWriter) {
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -45,14 +45,56 @@
 // Close closes the connection.
 func (c *codec) Close() error { return c.conn.Close() }
 
+// requestHeader and responseHeader are the headers as arrays, which are much
+// shorter than with the names of their members.
+type requestHeader struct {
+	_      struct{} `cbor:",toarray"`
+	Method string
+	Seq    uint64
+}
+
+type responseHeader struct {
+	_     struct{} `cbor:",toarray"`
+	Seq   uint64
+	Error string
+}
+
 type clientCodec struct{ *codec }
 
-func (c clientCodec) WriteRequest(r *rpc.Request, body any) error { return c.write(r, body) }
-func (c clientCodec) ReadResponseHeader(r *rpc.Response) error    { return c.dec.Decode(r) }
-func (c clientCodec) ReadResponseBody(body any) error             { return c.readBody(body) }
+// WriteRequest implements rpc.ClientCodec.
+func (c clientCodec) WriteRequest(r *rpc.Request, body any) error {
+	return c.write(requestHeader{Method: r.ServiceMethod, Seq: r.Seq}, body)
+}
+
+// ReadResponseHeader implements rpc.ClientCodec.
+func (c clientCodec) ReadResponseHeader(r *rpc.Response) error {
+	var h responseHeader
+	if err := c.dec.Decode(&h); err != nil {
+		return err
+	}
+	r.Seq, r.Error = h.Seq, h.Error
+	return nil
+}
+
+// ReadResponseBody implements rpc.ClientCodec.
+func (c clientCodec) ReadResponseBody(body any) error { return c.readBody(body) }
 
 type serverCodec struct{ *codec }
 
-func (c serverCodec) ReadRequestHeader(r *rpc.Request) error        { return c.dec.Decode(r) }
-func (c serverCodec) ReadRequestBody(body any) error                { return c.readBody(body) }
-func (c serverCodec) WriteResponse(r *rpc.Response, body any) error { return c.write(r, body) }
+// ReadRequestHeader implements rpc.ServerCodec.
+func (c serverCodec) ReadRequestHeader(r *rpc.Request) error {
+	var h requestHeader
+	if err := c.dec.Decode(&h); err != nil {
+		return err
+	}
+	r.ServiceMethod, r.Seq = h.Method, h.Seq
+	return nil
+}
+
+// ReadRequestBody implements rpc.ServerCodec.
+func (c serverCodec) ReadRequestBody(body any) error { return c.readBody(body) }
+
+// WriteResponse implements rpc.ServerCodec.
+func (c serverCodec) WriteResponse(r *rpc.Response, body any) error {
+	return c.write(responseHeader{Seq: r.Seq, Error: r.Error}, body)
+}
