--- a/ownership/plan_test.go
+++ b/ownership/plan_test.go
@@ -223,6 +223,14 @@
 			So(c.longest, ShouldBeLessThanOrEqualTo, detection+3*time.Second)
 		})
 		Convey("a node on probation gets nothing and a suspect keeps what it has", func() {
+			c.join("p", domain(0))
+			p := c.members["p"]
+			p.Probation = c.now.Add(time.Hour)
+			c.members["p"] = p
+			c.kill("n00")
+			c.set("n00", membership.Dead)
+			c.run(time.Minute)
+			So(c.nodes["p"].own, ShouldBeEmpty)
 			c.moves = make(map[Unit]int)
 			held := len(c.nodes["n07"].own)
 			m := c.members["n07"]
