--- a/wire/codec.go
+++ b/wire/codec.go
@@ -45,14 +45,15 @@
 // Close closes the connection.
 func (c *codec) Close() error { return c.conn.Close() }
 
-// requestHeader and responseHeader are the headers as arrays, which are much
-// shorter than with the names of their members.
+// requestHeader is rpc.Request on the wire, an array of two.
 type requestHeader struct {
 	_      struct{} `cbor:",toarray"`
 	Method string
 	Seq    uint64
 }
 
+// responseHeader is rpc.Response on the wire, an array of two. The caller knows
+// the method by the sequence number.
 type responseHeader struct {
 	_     struct{} `cbor:",toarray"`
 	Seq   uint64
@@ -61,40 +62,36 @@
 
 type clientCodec struct{ *codec }
 
-// WriteRequest implements rpc.ClientCodec.
 func (c clientCodec) WriteRequest(r *rpc.Request, body any) error {
 	return c.write(requestHeader{Method: r.ServiceMethod, Seq: r.Seq}, body)
 }
 
-// ReadResponseHeader implements rpc.ClientCodec.
 func (c clientCodec) ReadResponseHeader(r *rpc.Response) error {
 	var h responseHeader
 	if err := c.dec.Decode(&h); err != nil {
 		return err
 	}
-	r.Seq, r.Error = h.Seq, h.Error
+	r.Seq = h.Seq
+	r.Error = h.Error
 	return nil
 }
 
-// ReadResponseBody implements rpc.ClientCodec.
 func (c clientCodec) ReadResponseBody(body any) error { return c.readBody(body) }
 
 type serverCodec struct{ *codec }
 
-// ReadRequestHeader implements rpc.ServerCodec.
 func (c serverCodec) ReadRequestHeader(r *rpc.Request) error {
 	var h requestHeader
 	if err := c.dec.Decode(&h); err != nil {
 		return err
 	}
-	r.ServiceMethod, r.Seq = h.Method, h.Seq
+	r.ServiceMethod = h.Method
+	r.Seq = h.Seq
 	return nil
 }
 
-// ReadRequestBody implements rpc.ServerCodec.
 func (c serverCodec) ReadRequestBody(body any) error { return c.readBody(body) }
 
-// WriteResponse implements rpc.ServerCodec.
 func (c serverCodec) WriteResponse(r *rpc.Response, body any) error {
 	return c.write(responseHeader{Seq: r.Seq, Error: r.Error}, body)
 }
