--- a/entry/pool/pool.go
+++ b/entry/pool/pool.go
@@ -54,7 +54,7 @@
 		if c == nil {
 			return p.connect(ctx)
 		}
-		if time.Since(c.idleSince) < idleTimeout && c.isQuiet() {
+		if time.Since(c.idleSince) < idleTimeout && c.state() == stateQuiet {
 			return c, nil
 		}
 		p.discard(c)
@@ -85,6 +85,9 @@
 	c, err := dialer.DialContext(ctx, "tcp", p.addr)
 	if err != nil {
 		p.open.Add(-1)
+		if ctx.Err() != nil {
+			return nil, &Error{Fault: FaultCanceled, Err: err}
+		}
 		return nil, &Error{Fault: FaultConnect, Err: err}
 	}
 	return newConn(c, generation), nil
@@ -104,6 +107,12 @@
 	}
 }
 
+func (p *Pool) isRetired(c *conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return c.generation != p.generation
+}
+
 func (p *Pool) discard(c *conn) {
 	c.Close()
 	p.open.Add(-1)
--- a/membership/prober.go
+++ b/membership/prober.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -23,6 +24,19 @@
 // ListFunc returns the platform's list, or a peer's copy of it.
 type ListFunc func(ctx context.Context) (platform.VMSnapshot, error)
 
+// Transport calls a method of the peer at addr; PoolTransport is one.
+type Transport interface {
+	Call(ctx context.Context, addr, method string, args, reply any) error
+}
+
+// PoolTransport calls peers over net/rpc.
+type PoolTransport struct{ Pool *wire.Pool }
+
+// Call implements Transport.
+func (t PoolTransport) Call(ctx context.Context, addr, method string, args, reply any) error {
+	return t.Pool.Client(addr).Call(ctx, method, args, reply)
+}
+
 // ProberOptions adjusts a Prober; zero values stand for defaults.
 type ProberOptions struct {
 	Options
@@ -33,10 +47,10 @@
 
 // Prober keeps a Table up to date.
 type Prober struct {
-	list  ListFunc
-	pool  *wire.Pool
-	o     ProberOptions
-	table guarded
+	list      ListFunc
+	transport Transport
+	o         ProberOptions
+	table     guarded
 
 	mu      sync.Mutex // protects changed
 	changed chan struct{}
@@ -45,7 +59,7 @@
 }
 
 // NewProber returns a prober of the node self, which works while Run runs.
-func NewProber(self Update, list ListFunc, pool *wire.Pool, o ProberOptions) *Prober {
+func NewProber(self Update, list ListFunc, transport Transport, o ProberOptions) *Prober {
 	if o.ProbeEvery <= 0 {
 		o.ProbeEvery = defaultProbeEvery
 	}
@@ -59,11 +73,11 @@
 		self.Incarnation = uint64(time.Now().UnixMilli())
 	}
 	return &Prober{
-		list:    list,
-		pool:    pool,
-		o:       o,
-		table:   guarded{table: NewTable(self, o.Options, time.Now())},
-		changed: make(chan struct{}),
+		list:      list,
+		transport: transport,
+		o:         o,
+		table:     guarded{table: NewTable(self, o.Options, time.Now())},
+		changed:   make(chan struct{}),
 	}
 }
 
@@ -100,15 +114,30 @@
 // Run polls the list and probes peers until ctx ends.
 func (p *Prober) Run(ctx context.Context) error {
 	var loops sync.WaitGroup
-	loops.Go(func() { p.every(ctx, p.o.ListEvery, p.pollList) })
-	loops.Go(func() { p.every(ctx, p.o.ProbeEvery, p.round) })
+	loops.Go(func() { p.every(ctx, p.listInterval, p.pollList) })
+	loops.Go(func() { p.every(ctx, p.probeInterval, p.round) })
 	loops.Wait()
 	return nil
 }
 
-func (p *Prober) every(ctx context.Context, interval time.Duration, fn func(context.Context)) {
+func (p *Prober) listInterval() time.Duration { return p.o.ListEvery }
+
+// probeInterval returns the time to the next round, which is shorter while a
+// suspect waits for it.
+func (p *Prober) probeInterval() time.Duration {
+	interval := p.o.ProbeEvery
+	p.table.do(func(t *Table, _ time.Time) {
+		if t.Doubts() {
+			interval /= 2
+		}
+	})
+	return interval
+}
+
+func (p *Prober) every(ctx context.Context, next func() time.Duration, fn func(context.Context)) {
 	for ctx.Err() == nil {
 		fn(ctx)
+		interval := next()
 		spread := time.Duration(rand.Int64N(int64(interval)/5 + 1))
 		wait := time.NewTimer(interval - interval/10 + spread)
 		select {
@@ -159,18 +188,22 @@
 func (p *Prober) confirmSilence(ctx context.Context, target Member) bool {
 	var asked []Member
 	p.table.do(func(t *Table, _ time.Time) { asked = t.Helpers(target.ID, helpers, rand.Int()) })
-	confirmed := false
+	var reached, answered atomic.Int32
+	var calls sync.WaitGroup
 	for _, h := range asked {
-		reply, err := p.confirm(ctx, h, target)
-		if err != nil {
-			continue
-		}
-		if reply.Answered {
-			return false
-		}
-		confirmed = true
+		calls.Go(func() {
+			reply, err := p.confirm(ctx, h, target)
+			if err != nil {
+				return
+			}
+			reached.Add(1)
+			if reply.Answered {
+				answered.Add(1)
+			}
+		})
 	}
-	return confirmed
+	calls.Wait()
+	return reached.Load() > 0 && answered.Load() == 0
 }
 
 func (p *Prober) confirm(ctx context.Context, helper, target Member) (ConfirmReply, error) {
@@ -179,7 +212,7 @@
 	self := p.selfID()
 	var reply ConfirmReply
 	args := ConfirmArgs{From: self, Target: target.update()}
-	if err := p.pool.Client(helper.Control).Call(ctx, ServiceName+".Confirm", args, &reply); err != nil {
+	if err := p.transport.Call(ctx, helper.Control, ServiceName+".Confirm", args, &reply); err != nil {
 		return ConfirmReply{}, err
 	}
 	p.table.do(func(t *Table, now time.Time) { t.Apply(reply.Updates, now) })
@@ -194,7 +227,8 @@
 	defer cancel()
 	var reply ProbeReply
 	args := ProbeArgs{From: p.selfID(), Updates: p.exchange(id, nil)}
-	if err := p.pool.Client(addr).Call(ctx, ServiceName+".Probe", args, &reply); err != nil {
+	p.table.do(func(t *Table, _ time.Time) { args.Digest = t.Digest() })
+	if err := p.transport.Call(ctx, addr, ServiceName+".Probe", args, &reply); err != nil {
 		return err
 	}
 	p.table.do(func(t *Table, now time.Time) { t.Apply(reply.Updates, now) })
--- a/membership/table.go
+++ b/membership/table.go
@@ -15,6 +15,11 @@
 	deadKept          = 10 * time.Minute // before a dead member is forgotten
 	updateRounds      = 12               // messages that carry an update
 	maxDeadShare      = 0.5              // of the members that probes alone may declare dead
+	othersFactor      = 3                // by which this node waits longer before it probes another's suspect
+	deadAfter         = 3                // confirmed silences in a row
+	probationBase     = 10 * time.Second // after the first return from the dead
+	probationMax      = 5 * time.Minute
+	returnsKept       = 15 * time.Minute // without a return, earlier ones are forgotten
 )
 
 // Options adjusts a Table; zero values stand for defaults.
@@ -35,6 +40,8 @@
 	asOf    time.Time      // of the newest list applied
 	ring    []string       // ids of the members that are probed, by failure domain
 	turn    int
+	cursor  int    // of Sync
+	digest  uint64 // 0 when not computed
 	changes uint64
 }
 
@@ -42,6 +49,9 @@
 	Member
 	listed  bool // in the newest list
 	leaving bool // so said by the list
+	doubted bool // this node probes the suspect until it is live or dead
+	silent  int  // confirmed silences in a row seen by this node
+	returns int  // from the dead
 }
 
 // NewTable returns a table that knows self alone. Self's Incarnation must be
@@ -97,6 +107,20 @@
 	return m
 }
 
+// comeBack starts a probation that doubles with each return, so that a node
+// that keeps vanishing moves no units each time.
+func (e *entry) comeBack(now time.Time) {
+	if now.Sub(e.Probation) > returnsKept {
+		e.returns = 0
+	}
+	wait := probationMax
+	if e.returns < 5 {
+		wait = min(wait, probationBase<<e.returns)
+	}
+	e.returns++
+	e.Probation = now.Add(wait)
+}
+
 // Leave marks this node as leaving.
 func (t *Table) Leave(now time.Time) {
 	e := t.members[t.self]
@@ -136,13 +160,13 @@
 		u := Update{ID: vm.ID, FailureDomain: vm.FailureDomain, Control: vm.Control, State: Live}
 		e = &entry{Member: member(u, now)}
 		t.members[vm.ID] = e
-		t.changed(vm.ID)
+		t.noteChange()
 	}
 	e.listed = true
 	leaving := vm.State == platform.VMLeaving
 	if e.leaving != leaving {
 		e.leaving = leaving
-		t.changed(vm.ID)
+		t.noteChange()
 	}
 }
 
@@ -191,9 +215,13 @@
 
 // Suspect notes that a member did not answer, as confirmed by another one.
 func (t *Table) Suspect(id string, now time.Time) {
-	if e, ok := t.members[id]; ok {
-		t.suspect(e, now)
+	e, ok := t.members[id]
+	if !ok || id == t.self || e.State == Dead {
+		return
 	}
+	t.suspect(e, now)
+	e.doubted = true
+	e.silent++
 }
 
 func (t *Table) suspect(e *entry, now time.Time) {
@@ -203,18 +231,21 @@
 	t.set(e, Suspect, now)
 }
 
-// Tick declares suspects dead whose time ran out, and forgets old dead ones.
+// Tick declares suspects dead whose silence this node confirmed itself, and
+// forgets old dead ones. A suspect of another node is probed when that node
+// leaves the suspicion open.
 func (t *Table) Tick(now time.Time) {
 	for _, id := range slices.Sorted(maps.Keys(t.members)) {
 		e := t.members[id]
 		switch {
-		case e.State == Suspect && now.Sub(e.Since) >= t.o.SuspectFor && t.mayDie(e):
+		case e.State == Suspect && e.silent >= deadAfter && now.Sub(e.Since) >= t.o.SuspectFor && t.mayDie(e):
 			t.set(e, Dead, now)
+		case e.State == Suspect && now.Sub(e.Since) >= othersFactor*t.o.SuspectFor:
+			e.doubted = true
 		case e.State == Dead && !e.listed && now.Sub(e.Since) >= deadKept:
 			delete(t.members, id)
 			delete(t.rumors, id)
-			t.changes++
-			t.ring = nil
+			t.noteChange()
 		}
 	}
 }
@@ -235,13 +266,23 @@
 }
 
 func (t *Table) set(e *entry, s State, now time.Time) {
+	if e.State == Dead && s < Suspect {
+		e.comeBack(now)
+	}
 	e.State = s
 	e.Since = now
+	e.doubted, e.silent = false, 0
 	t.changed(e.ID)
 }
 
+// changed notes a change that peers should hear of.
 func (t *Table) changed(id string) {
-	t.changes++
 	t.rumors[id] = updateRounds
+	t.noteChange()
+}
+
+func (t *Table) noteChange() {
+	t.changes++
 	t.ring = nil
+	t.digest = 0
 }
--- a/scheduler/commands.go
+++ b/scheduler/commands.go
@@ -18,7 +18,8 @@
 // publisher implements command.Settings.
 type publisher struct{ s *Scheduler }
 
-// Publish implements command.Settings.
+// Publish implements command.Settings. No record is spent on an edit that would
+// be lost or invalid now.
 func (p publisher) Publish(ctx context.Context, e command.Edit) (command.Receipt, error) {
 	if ok, reason := p.s.follow.Ready(); !ok {
 		return command.Receipt{}, problem.NotReady("settings are not known yet: %s", reason)
@@ -26,6 +27,9 @@
 	if known, ok := p.s.settings.Outcome(e.Key); ok {
 		return receipt(e.Key, known), nil
 	}
+	if trial := p.s.settings.Trial(e.Edit); trial.Result != settings.Applied {
+		return receipt(e.Key, trial), nil
+	}
 	data, err := e.Encode()
 	if err != nil {
 		return command.Receipt{}, fmt.Errorf("encode edit: %w", err)
@@ -65,7 +69,7 @@
 	if v == nil {
 		return nil, problem.NotReady("settings are not known yet")
 	}
-	if err := checkTeams(v, jobs); err != nil {
+	if err := checkReferences(v, jobs); err != nil {
 		return nil, err
 	}
 	out := make([]command.Submission, len(jobs))
@@ -76,12 +80,12 @@
 	return out, nil
 }
 
-// checkTeams finds jobs of teams that the settings don't have.
-func checkTeams(v *settings.View, jobs []job.Spec) error {
+// checkReferences finds names in jobs that the settings don't have.
+func checkReferences(v *settings.View, jobs []job.Spec) error {
 	var found finding.List
 	for i, spec := range jobs {
-		if _, ok := v.Team(spec.Team); !ok {
-			found.Addf(fmt.Sprintf("jobs[%d].team", i), "the settings have no team %q", spec.Team)
+		for _, f := range spec.CheckReferences(v) {
+			found.Addf(fmt.Sprintf("jobs[%d].%s", i, f.Key), "%s", f.Message)
 		}
 	}
 	return found.Err()
--- a/settings/proposal.go
+++ b/settings/proposal.go
@@ -65,44 +65,37 @@
 		found.Addf("/", "all documents together have %d bytes, more than %d", size, maxTreeBytes)
 	}
 	p.root = p.contents.compose()
-	p.found = sortFindings(append(found, checkTree(p.root)...))
-}
-
-// Trial returns the findings that an edit would have if it were interpreted
-// now, and changes nothing.
-func (m *Machine) Trial(e Edit) (finding.List, error) {
-	m.mu.RLock()
-	defer m.mu.RUnlock()
-	if err := e.Validate(); err != nil {
-		return nil, err
-	}
-	p, err := m.propose(e, m.seen+1)
-	return p.found, err
+	p.found = append(found, checkTree(p.root)...).Sort()
 }
 
 // Document returns the text of the branch at path as of the revision; use the
 // newest one seen for the present. The text is that of the operator's file
-// when nothing below was edited separately.
-func (m *Machine) Document(path fleet.Path, revision platform.Offset) (Document, error) {
+// when nothing below was edited separately. Failure domains that exist now are
+// out in it when they are out now. The base belongs to the same moment: an edit
+// made from the text names it.
+func (m *Machine) Document(path fleet.Path, revision platform.Offset) (d Document, base platform.Offset, err error) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	return m.documentAt(path, revision)
+	d, err = m.documentAt(path, revision)
+	return d, m.changed.newest(path), err
 }
 
-// Current returns the present text of the branch at path.
-func (m *Machine) Current(path fleet.Path) (Document, error) {
+// Current returns the present text of the branch at path and its base.
+func (m *Machine) Current(path fleet.Path) (d Document, base platform.Offset, err error) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	return m.documentAt(path, m.seen)
+	d, err = m.documentAt(path, m.seen)
+	return d, m.changed.newest(path), err
 }
 
 func (m *Machine) documentAt(path fleet.Path, revision platform.Offset) (Document, error) {
+	if revision > m.seen {
+		return Document{}, fmt.Errorf("revision %d is not known yet", revision)
+	}
 	c, err := m.history.undo(m.contents, revision)
 	if err != nil {
 		return Document{}, err
 	}
-	if revision > m.seen {
-		return Document{}, fmt.Errorf("revision %d is not known yet", revision)
-	}
+	c.keepMarks(m.root)
 	return c.render(path)
 }
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -9,6 +9,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/peridotlock/peridotlock/fleet"
+	"github.com/peridotlock/peridotlock/platform"
 )
 
 const clashing = `
@@ -124,6 +125,15 @@
 		So(Check("f", fmt.Appendf(nil, both, "y.example")).Error(), ShouldContainSubstring, `b: routes: * / with host y.example belongs to service "a" already`)
 		So(Check("f", fmt.Appendf(nil, both, "Z:80")).Error(), ShouldContainSubstring, `"Z:80" is not a name`)
 	})
+	Convey("Trees whose check would take long are refused", t, func() {
+		var routes, branches strings.Builder
+		for i := range maxBranches + 1 {
+			fmt.Fprintf(&routes, "{prefix: /%d, class: watch}, ", i)
+			fmt.Fprintf(&branches, "b%d: {}, ", i)
+		}
+		So(Check("f", []byte("routes: ["+routes.String()+"]")).Error(), ShouldEqual, "f:1:1: /: routes: 10001 routes, more than 128")
+		So(Check("f", []byte("branches: {"+branches.String()+"}")).Error(), ShouldContainSubstring, "more than 10000 branches")
+	})
 	Convey("Aliases and several documents are refused", t, func() {
 		So(Check("f", []byte("a: &x {}\nb: *x\n")).Error(), ShouldContainSubstring, "aliases are not allowed")
 		So(Check("f", []byte("{}\n---\n{}\n")).Error(), ShouldContainSubstring, "more than one YAML document")
@@ -142,6 +152,29 @@
 	})
 }
 
+func FuzzApply(f *testing.F) {
+	for _, operation := range []Operation{Replace, TakeOut, Revert} {
+		data, err := Edit{Author: "a", Base: -1, Operation: operation, Text: clashing}.Encode()
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m := NewMachine()
+		m.Apply(platform.Record{Offset: 0, ID: "a", Data: data})
+		m.Apply(platform.Record{Offset: 1, ID: "b", Data: data})
+		_ = NewMachine().Restore(data)
+		snapshot, err := m.Snapshot()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := NewMachine().Restore(snapshot); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
 func FuzzCheck(f *testing.F) {
 	f.Add([]byte(clashing))
 	f.Add([]byte("a: &x [*x]\n"))
