--- a/experiment/model_test.go
+++ b/experiment/model_test.go
@@ -569,6 +569,7 @@
 	m    *model
 	from *node
 	step string
+	hash uint64
 }
 
 func (n *node) path() string {
@@ -582,38 +583,44 @@
 // earlier times first: a state that differs from an earlier one by the time
 // alone has nothing new.
 func search(t *testing.T, b size) int {
-	seen := make(map[uint64]bool)
+	first := make(map[uint64]int) // earliest time of each state
 	levels := make([][]*node, b.ticks+1)
-	levels[0] = []*node{{m: newModel(b)}}
+	add := func(n *node) {
+		if fault := n.m.check(); fault != "" {
+			t.Fatalf("%s after:%s", fault, n.path())
+		}
+		level := int(n.m.now.Sub(modelStart) / modelTick)
+		n.hash = fingerprint(n.m)
+		if known, ok := first[n.hash]; ok && known <= level {
+			return
+		}
+		first[n.hash] = level
+		levels[level] = append(levels[level], n)
+		if len(first) > b.most {
+			t.Fatalf("more than %d states at time %d, one by:%s", b.most, level, n.path())
+		}
+	}
+	add(&node{m: newModel(b)})
 	for level := range levels {
 		for len(levels[level]) > 0 {
 			n := levels[level][0]
 			levels[level] = levels[level][1:]
-			if fault := n.m.check(); fault != "" {
-				t.Fatalf("%s after:%s", fault, n.path())
-			}
-			if h := fingerprint(n.m); !seen[h] {
-				seen[h] = true
-				levels = expand(levels, n)
+			if first[n.hash] == level {
+				expand(n, add)
 			}
 			n.m = nil
-			if len(seen) > b.most {
-				t.Fatalf("more than %d states at time %d, one by:%s", b.most, level, n.path())
-			}
 		}
 	}
-	return len(seen)
+	return len(first)
 }
 
 // expand adds the states that follow n.
-func expand(levels [][]*node, n *node) [][]*node {
+func expand(n *node, add func(*node)) {
 	for _, s := range n.m.steps() {
 		next := &node{m: clone(n.m), from: n, step: s.name}
 		s.run(next.m)
-		level := int(next.m.now.Sub(modelStart) / modelTick)
-		levels[level] = append(levels[level], next)
+		add(next)
 	}
-	return levels
 }
 
 func TestModel(t *testing.T) {
