Ask few racks, and only when tasks wait

Cause: an idle owner of a queue asked every rack for its summary every 2 s, and each refused reservation carried a refusal for every VM; measure/node-cost shows tens of KB a second at 81 queues and 78 racks. Change: no call while nothing waits; a few racks in a round, the unknown and those that reported an end first; reservations bring a summary at most once a second; refusals once for each size, three at most; attempts that run are swept every 10 min. A client repeats a call that reached no owner for up to 10 s. Run: go test -race ./queue/... passed (15.6 s). The traffic was not measured again.

--- a/queue/apply.go
+++ b/queue/apply.go
@@ -44,7 +44,7 @@
 }
 
 func (m *Machine) submit(r *Record, now time.Time) {
-	if r.Spec == nil || r.Spec.Count < 1 || r.Spec.Count > maxCount {
+	if r.Spec == nil || r.Spec.Count < 1 || r.Spec.Count > job.MaxCount {
 		return
 	}
 	if _, ok := m.keys[r.Spec.IdempotencyKey]; ok && r.Spec.IdempotencyKey != "" {
--- a/queue/choose.go
+++ b/queue/choose.go
@@ -30,6 +30,9 @@
 	return c
 }
 
+// Summaries returns the summaries less what was given out.
+func (c *Chooser) Summaries() []rack.Summary { return c.racks }
+
 // Choose returns the rack whose emptiest fitting VM has most left, or why there
 // is none. It does not look again for a job that found no room.
 func (c *Chooser) Choose(t Candidate) (fleet.Path, Reason, bool) {
@@ -44,7 +47,7 @@
 		}
 		for j := range c.racks[i].VMs {
 			v := &c.racks[i].VMs[j]
-			if c.fits(v, t) && (best == nil || roomier(v.Free, best.Free)) {
+			if c.fits(c.racks[i].FailureDomain, v, t) && (best == nil || roomier(v.Free, best.Free)) {
 				best = v
 				path = c.racks[i].Rack
 			}
@@ -58,8 +61,8 @@
 	return path, Reason{}, true
 }
 
-func (c *Chooser) fits(v *rack.VMSummary, t Candidate) bool {
-	return t.Size.Fits(v.Free) && allows(t.Job.Spec.FailureDomains, v.FailureDomain) &&
+func (c *Chooser) fits(domain fleet.Path, v *rack.VMSummary, t Candidate) bool {
+	return t.Size.Fits(v.Free) && allows(t.Job.Spec.FailureDomains, domain) &&
 		!slices.Contains(t.Task.FailedOn, v.ID)
 }
 
@@ -79,7 +82,7 @@
 		}
 		answering += len(r.VMs)
 		for _, v := range r.VMs {
-			if allows(t.Job.Spec.FailureDomains, v.FailureDomain) {
+			if allows(t.Job.Spec.FailureDomains, r.FailureDomain) {
 				lacking = append(lacking, refusalOf(v, t))
 			}
 		}
--- a/queue/client.go
+++ b/queue/client.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/rpc"
+	"time"
 
 	"github.com/peridotlock/peridotlock/fleet"
 	"github.com/peridotlock/peridotlock/job"
@@ -24,6 +25,18 @@
 // ErrUnknownJob says that the queue has no such job; it wraps ErrNotDone.
 var ErrUnknownJob = fmt.Errorf("%w: unknown job", ErrNotDone)
 
+const (
+	ownerWait  = 10 * time.Second // for an owner and its answer
+	ownerRetry = 200 * time.Millisecond
+)
+
+// coded is a reply with a code.
+type coded interface{ code() Code }
+
+func (r *SubmitReply) code() Code { return r.Code }
+func (r *JobReply) code() Code    { return r.Code }
+func (r *ListReply) code() Code   { return r.Code }
+
 // Client forwards calls to the owner of the queue that they are about. Each
 // error wraps ErrNotDone or ErrOutcomeUnknown.
 type Client struct {
@@ -80,7 +93,27 @@
 	return r.Job, codeError(r.Code, r.Detail)
 }
 
-func (c *Client) call(ctx context.Context, queue fleet.Path, method string, args, reply any) error {
+// call repeats a call that certainly reached no owner of the queue, as during a
+// takeover.
+func (c *Client) call(ctx context.Context, queue fleet.Path, method string, args any, reply coded) error {
+	ctx, cancel := context.WithTimeout(ctx, ownerWait)
+	defer cancel()
+	for {
+		err := c.callOnce(ctx, queue, method, args, reply)
+		code := reply.code()
+		again := errors.Is(err, ErrNotDone) || (err == nil && (code == NotOwner || code == NotReady))
+		if !again {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(ownerRetry):
+		}
+	}
+}
+
+func (c *Client) callOnce(ctx context.Context, queue fleet.Path, method string, args, reply any) error {
 	_, addr, ok := c.directory.Owner(ownership.Unit{Kind: ownership.Queue, Path: queue})
 	if !ok {
 		return fmt.Errorf("%w: queue %s has no owner", ErrNotDone, queue)
--- a/queue/machine.go
+++ b/queue/machine.go
@@ -16,7 +16,6 @@
 const (
 	keptJobs = 2000           // ended jobs that are kept
 	keptTime = 24 * time.Hour // after the end of a job
-	maxCount = 20000          // tasks of one job
 )
 
 // Task is the recorded state of one task.
@@ -102,6 +101,19 @@
 // ByKey returns the job with the idempotency key, or nil.
 func (m *Machine) ByKey(key string) *Job { return m.jobs[m.keys[key]] }
 
+// Waiting returns the count of tasks that may be placed.
+func (m *Machine) Waiting() int {
+	n := 0
+	for _, j := range m.open {
+		for i := range j.Tasks {
+			if j.Tasks[i].IsWaiting() {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // Open returns the jobs that have not ended, oldest first.
 func (m *Machine) Open() []*Job {
 	return slices.SortedFunc(maps.Values(m.open), byNumber)
--- a/queue/owner/calls.go
+++ b/queue/owner/calls.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/peridotlock/peridotlock/job"
@@ -15,8 +16,8 @@
 
 // submit records a job. A job that no worker could hold is rejected at once.
 func (o *Owner) submit(ctx context.Context, s job.Spec) queue.SubmitReply {
-	if err := queue.Check(s); err != nil {
-		return queue.SubmitReply{Code: queue.Invalid, Detail: err.Error()}
+	if faults := s.Check(); len(faults) > 0 {
+		return queue.SubmitReply{Code: queue.Invalid, Detail: faultText(faults)}
 	}
 	if s.IdempotencyKey == "" {
 		s.IdempotencyKey = rand.Text()
@@ -39,6 +40,14 @@
 	return queue.SubmitReply{Job: st}
 }
 
+func faultText(faults []job.Fault) string {
+	lines := make([]string, len(faults))
+	for i, f := range faults {
+		lines[i] = f.Key + " " + f.Message
+	}
+	return strings.Join(lines, "; ")
+}
+
 func (o *Owner) reject(ctx context.Context, st job.Status, short queue.Shortfall) job.Status {
 	_, number, _ := queue.ParseJobID(st.ID)
 	r := queue.Record{Kind: queue.Unschedulable, Job: number, Reason: short.String()}
--- a/queue/owner/owner.go
+++ b/queue/owner/owner.go
@@ -22,7 +22,8 @@
 )
 
 const (
-	roundEvery   = 500 * time.Millisecond // when nothing changes
+	roundEvery   = 500 * time.Millisecond // after a round that placed tasks
+	idleEvery    = 2 * time.Second        // after one that placed none
 	resolveEvery = time.Second
 	openRetry    = time.Second
 )
@@ -66,6 +67,7 @@
 	budget    queue.Budget
 	reasons   map[queue.TaskRef]queue.Reason
 	unfit     map[uint64]time.Time              // jobs that no worker could hold, since when
+	asked     map[queue.TaskRef]time.Time       // when the rack owner was last asked
 	confirmed map[queue.TaskRef]platform.Offset // term of the rack owner that knew the attempt
 }
 
@@ -80,6 +82,7 @@
 		history:   queue.NewHistory(),
 		reasons:   make(map[queue.TaskRef]queue.Reason),
 		unfit:     make(map[uint64]time.Time),
+		asked:     make(map[queue.TaskRef]time.Time),
 		confirmed: make(map[queue.TaskRef]platform.Offset),
 	}
 }
--- a/queue/owner/racks.go
+++ b/queue/owner/racks.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,7 +16,10 @@
 
 const (
 	rackTimeout = 3 * time.Second // of a call to a rack owner
-	summaryAge  = 2 * time.Second // older summaries are fetched again
+	summaryAge  = 2 * time.Second // older summaries may be fetched again
+
+	leastAsked   = 4  // racks asked in a round
+	tasksPerRack = 16 // waiting tasks for each further rack asked
 )
 
 // racks calls the owners of racks and caches what they have free.
@@ -64,13 +69,11 @@
 	return out
 }
 
-// refresh fetches the summaries that are too old.
-func (r *racks) refresh(ctx context.Context) {
+// refresh fetches the summaries of a few racks for a number of waiting tasks:
+// those not known yet in random order, then the oldest.
+func (r *racks) refresh(ctx context.Context, waiting int) {
 	var calls sync.WaitGroup
-	for _, path := range r.paths() {
-		if r.isFresh(path) {
-			continue
-		}
+	for _, path := range r.stale(leastAsked + waiting/tasksPerRack) {
 		calls.Go(func() {
 			var reply rack.SummaryReply
 			err := r.call(ctx, path, "Summary", rack.SummaryArgs{Rack: path}, &reply)
@@ -83,10 +86,33 @@
 	calls.Wait()
 }
 
-func (r *racks) isFresh(path fleet.Path) bool {
+// stale returns at most limit racks whose summaries are too old, oldest first.
+func (r *racks) stale(limit int) []fleet.Path {
+	paths := r.paths()
+	rand.Shuffle(len(paths), func(i, j int) { paths[i], paths[j] = paths[j], paths[i] })
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	paths = slices.DeleteFunc(paths, func(p fleet.Path) bool { return time.Since(r.summaries[p].at) < summaryAge })
+	slices.SortStableFunc(paths, func(a, b fleet.Path) int { return r.summaries[a].at.Compare(r.summaries[b].at) })
+	return paths[:min(len(paths), limit)]
+}
+
+// hasUnknown reports whether a rack was never asked.
+func (r *racks) hasUnknown() bool {
+	paths := r.paths()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return time.Since(r.summaries[path].at) < summaryAge
+	return slices.ContainsFunc(paths, func(p fleet.Path) bool {
+		_, ok := r.summaries[p]
+		return !ok
+	})
+}
+
+// wantsSummary reports whether a reservation at the rack is to bring a summary.
+func (r *racks) wantsSummary(path fleet.Path) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return time.Since(r.summaries[path].at) >= summaryAge/2
 }
 
 func (r *racks) store(s rack.Summary) {
@@ -95,20 +121,27 @@
 	r.summaries[s.Rack] = cached{summary: s, at: time.Now()}
 }
 
-// forget makes the next refresh fetch the summary again.
-func (r *racks) forget(path fleet.Path) {
+// expire makes the rack one of the first to be asked again.
+func (r *racks) expire(path fleet.Path) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	delete(r.summaries, path)
+	c := r.summaries[path]
+	c.at = time.Time{}
+	r.summaries[path] = c
 }
 
-// chooser returns a choice of racks over a copy of the summaries.
-func (r *racks) chooser() *queue.Chooser {
+// choose calls f with a choice over the cached summaries and keeps what it
+// gave out deducted.
+func (r *racks) choose(f func(c *queue.Chooser)) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var all []rack.Summary
 	for _, c := range r.summaries {
 		all = append(all, c.summary)
 	}
-	return queue.NewChooser(all)
+	chooser := queue.NewChooser(all)
+	f(chooser)
+	for _, s := range chooser.Summaries() {
+		r.summaries[s.Rack] = cached{summary: s, at: r.summaries[s.Rack].at}
+	}
 }
--- a/queue/owner/resolve.go
+++ b/queue/owner/resolve.go
@@ -13,8 +13,10 @@
 )
 
 const (
-	placedLimit = 5 * time.Second // after which a placement that is not confirmed is asked for
-	sweepEvery  = time.Minute     // between questions about all that runs
+	placedLimit = 5 * time.Second  // after which a placement that is not confirmed is asked for
+	askEvery    = 5 * time.Second  // between questions about one attempt
+	sweepEvery  = 10 * time.Minute // between questions about all that runs
+	unfitEvery  = 10 * time.Second // between looks for jobs that no worker could hold
 )
 
 // active is a recorded attempt that may run.
@@ -32,7 +34,7 @@
 func (o *Owner) resolveLoop(ctx context.Context) {
 	ticker := time.NewTicker(resolveEvery)
 	defer ticker.Stop()
-	var swept time.Time
+	swept, checked := time.Now(), time.Now()
 	for {
 		all := time.Since(swept) >= sweepEvery
 		if all {
@@ -45,7 +47,10 @@
 		for path, group := range unknown {
 			o.resolve(ctx, path, group)
 		}
-		o.rejectUnfit(ctx)
+		if time.Since(checked) >= unfitEvery {
+			checked = time.Now()
+			o.rejectUnfit(ctx)
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -62,6 +67,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.replica.Read(func() {
+		o.forget(now)
 		for _, j := range o.machine.Open() {
 			for i := range j.Tasks {
 				t := &j.Tasks[i]
@@ -75,7 +81,8 @@
 				if t.Cancelling {
 					cancelling[t.Rack] = append(cancelling[t.Rack], a)
 				}
-				if all || o.isUnknown(a, t, now) {
+				if all || (now.Sub(o.asked[a.ref]) >= askEvery && o.isUnknown(a, t, now)) {
+					o.asked[a.ref] = now
 					unknown[t.Rack] = append(unknown[t.Rack], a)
 				}
 			}
@@ -84,6 +91,20 @@
 	return unknown, cancelling
 }
 
+// forget drops what is remembered of attempts that are over.
+func (o *Owner) forget(now time.Time) {
+	for ref, at := range o.asked {
+		if t := o.machine.Task(ref); now.Sub(at) > sweepEvery && (t == nil || !t.IsActive()) {
+			delete(o.asked, ref)
+		}
+	}
+	for ref := range o.confirmed {
+		if t := o.machine.Task(ref); t == nil || !t.IsActive() {
+			delete(o.confirmed, ref)
+		}
+	}
+}
+
 // isUnknown reports whether the attempt was placed long ago without a word, or
 // whether its rack has an owner that has not been asked for it.
 func (o *Owner) isUnknown(a active, t *queue.Task, now time.Time) bool {
--- a/queue/owner/round.go
+++ b/queue/owner/round.go
@@ -48,8 +48,9 @@
 		case <-o.wake:
 		case <-timer.C:
 		}
-		wait := roundEvery
+		wait := idleEvery
 		if o.round(ctx) {
+			wait = roundEvery
 			o.nudge()
 		}
 		if _, down := o.appender.downSince(); down {
@@ -67,14 +68,18 @@
 	if !ok {
 		return false
 	}
-	o.racks.refresh(ctx)
+	waiting := o.waiting()
+	if waiting == 0 {
+		return false
+	}
+	o.racks.refresh(ctx, min(waiting, roundSize))
 	moves := o.choose(team, policy)
 	if _, down := o.appender.downSince(); down {
 		// One placement tests the log.
 		moves = moves[:min(len(moves), 1)]
 	}
 	if len(moves) == 0 {
-		return false
+		return o.racks.hasUnknown()
 	}
 	reserved := o.reserve(ctx, moves)
 	if len(reserved) == 0 {
@@ -87,36 +92,49 @@
 	return len(moves) >= roundSize && len(placed) > 0
 }
 
+// waiting counts the tasks that wait.
+func (o *Owner) waiting() int {
+	n := 0
+	o.replica.Read(func() { n = o.machine.Waiting() })
+	return n
+}
+
 // choose takes the next tasks in order and picks a rack for each.
 func (o *Owner) choose(team settings.Team, policy settings.TaskPolicy) []*move {
-	chooser := o.racks.chooser()
 	now := time.Now()
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	var out []*move
-	o.replica.Read(func() {
-		order := queue.Order{Now: now, Team: team, Policy: policy, History: o.history}
-		candidates, waits := order.Next(o.machine)
-		for i, c := range candidates {
-			if len(out) >= roundSize {
-				waits[c.Ref] = queue.Reason{Code: queue.WaitsTurn, Ahead: i}
-				continue
-			}
-			path, reason, ok := chooser.Choose(c)
-			if ok && c.Task.Failures > 0 && !o.budget.Take(now, policy.RetryBudget) {
-				reason, ok = queue.Reason{Code: queue.WaitsBudget}, false
-			}
-			if !ok {
-				waits[c.Ref] = reason
-				continue
-			}
-			out = append(out, o.moveOf(c, path))
-		}
-		o.reasons = waits
+	o.racks.choose(func(chooser *queue.Chooser) {
+		o.replica.Read(func() { out = o.chooseWith(chooser, now, team, policy) })
 	})
 	return out
 }
 
+// chooseWith is called while the machine does not change.
+func (o *Owner) chooseWith(chooser *queue.Chooser, now time.Time, team settings.Team, policy settings.TaskPolicy) []*move {
+	var out []*move
+	order := queue.Order{Now: now, Team: team, Policy: policy, History: o.history}
+	candidates, waits := order.Next(o.machine)
+	for i, c := range candidates {
+		if len(out) >= roundSize {
+			waits[c.Ref] = queue.Reason{Code: queue.WaitsTurn, Ahead: i}
+			continue
+		}
+		path, reason, ok := chooser.Choose(c)
+		if ok && c.Task.Failures > 0 && !o.budget.Take(now, policy.RetryBudget) {
+			reason, ok = queue.Reason{Code: queue.WaitsBudget}, false
+		}
+		if !ok {
+			waits[c.Ref] = reason
+			continue
+		}
+		out = append(out, o.moveOf(c, path))
+	}
+	o.reasons = waits
+	return out
+}
+
 // moveOf copies what the placement needs from the machine.
 func (o *Owner) moveOf(c queue.Candidate, path fleet.Path) *move {
 	m := &move{
@@ -142,18 +160,20 @@
 	var calls sync.WaitGroup
 	for path, group := range byRack(moves) {
 		calls.Go(func() {
-			args := rack.ReserveArgs{Rack: path, Queue: o.path, QueueTerm: o.term}
+			args := rack.ReserveArgs{Rack: path, Queue: o.path, QueueTerm: o.term, Summary: o.racks.wantsSummary(path)}
 			for _, m := range group {
 				args.Requests = append(args.Requests, m.request)
 			}
 			var reply rack.ReserveReply
 			err := o.racks.call(ctx, path, "Reserve", args, &reply)
 			if err != nil || reply.Code != rack.OK || len(reply.Results) != len(group) {
-				o.racks.forget(path)
+				o.racks.store(rack.Summary{Rack: path})
 				o.explain(group, queue.Reason{Code: queue.WaitsRacks, Rack: path, Detail: string(reply.Code)})
 				return
 			}
-			o.racks.store(reply.Summary)
+			if reply.Summary != nil {
+				o.racks.store(*reply.Summary)
+			}
 			o.reserved(group, reply)
 		})
 	}
--- a/queue/owner/service.go
+++ b/queue/owner/service.go
@@ -103,6 +103,7 @@
 	o, code := s.owner(args.Queue)
 	if reply.Code = code; o != nil {
 		reply.Code = o.events(context.Background(), args.Events)
+		o.racks.expire(args.Rack)
 	}
 	return nil
 }
--- a/rack/admit.go
+++ b/rack/admit.go
@@ -9,6 +9,9 @@
 	"github.com/peridotlock/peridotlock/settings"
 )
 
+// maxRefusals bounds the refusals in a reply.
+const maxRefusals = 3
+
 type reservation struct {
 	vm        string
 	queue     fleet.Path
@@ -49,10 +52,24 @@
 		reply.Code = OldQueueTerm
 		return reply
 	}
+	explained := make(map[fleet.Resources]bool)
+	refused := false
 	for _, r := range args.Requests {
-		reply.Results = append(reply.Results, s.reserve(now, c, args, r))
+		result := s.reserve(now, c, args, r)
+		if result.VM == "" {
+			refused = true
+			result.Refusals = result.Refusals[:min(len(result.Refusals), maxRefusals)]
+			if explained[r.Size] {
+				result.Refusals = nil
+			}
+			explained[r.Size] = true
+		}
+		reply.Results = append(reply.Results, result)
+	}
+	if args.Summary || refused {
+		summary := s.Summary(now, c)
+		reply.Summary = &summary
 	}
-	reply.Summary = s.Summary(now, c)
 	return reply
 }
 
--- a/rack/protocol.go
+++ b/rack/protocol.go
@@ -62,9 +62,11 @@
 	Queue     fleet.Path      `cbor:"2,keyasint"`
 	QueueTerm platform.Offset `cbor:"3,keyasint"`
 	Requests  []Request       `cbor:"4,keyasint"`
+	Summary   bool            `cbor:"5,keyasint,omitempty"` // the reply is to bring one
 }
 
-// Reservation answers one Request; VM is empty when it was refused.
+// Reservation answers one Request; VM is empty when it was refused. Refusals
+// names the first few VMs, once for each size in a batch.
 type Reservation struct {
 	Task     string          `cbor:"1,keyasint"`
 	Attempt  int             `cbor:"2,keyasint"`
@@ -78,7 +80,7 @@
 	Code    Code            `cbor:"1,keyasint"`
 	Term    platform.Offset `cbor:"2,keyasint"`
 	Results []Reservation   `cbor:"3,keyasint"`
-	Summary Summary         `cbor:"4,keyasint"`
+	Summary *Summary        `cbor:"4,keyasint,omitempty"`
 }
 
 // Start names a reserved attempt whose placement is on the log.
@@ -185,16 +187,16 @@
 
 // Summary says what a rack has free, for the choice of a rack.
 type Summary struct {
-	Rack    fleet.Path      `cbor:"1,keyasint"`
-	Term    platform.Offset `cbor:"2,keyasint"`
-	VMs     []VMSummary     `cbor:"3,keyasint"`
-	Running int             `cbor:"4,keyasint"`
-	Reason  RefusalReason   `cbor:"5,keyasint,omitempty"` // why nothing may start
+	Rack          fleet.Path      `cbor:"1,keyasint"`
+	Term          platform.Offset `cbor:"2,keyasint"`
+	VMs           []VMSummary     `cbor:"3,keyasint"`
+	Running       int             `cbor:"4,keyasint"`
+	Reason        RefusalReason   `cbor:"5,keyasint,omitempty"` // why nothing may start
+	FailureDomain fleet.Path      `cbor:"6,keyasint"`
 }
 
 // VMSummary is one VM that takes tasks.
 type VMSummary struct {
-	ID            string          `cbor:"1,keyasint"`
-	FailureDomain fleet.Path      `cbor:"2,keyasint"`
-	Free          fleet.Resources `cbor:"3,keyasint"`
+	ID   string          `cbor:"1,keyasint"`
+	Free fleet.Resources `cbor:"2,keyasint"`
 }
--- a/rack/resolve.go
+++ b/rack/resolve.go
@@ -78,7 +78,8 @@
 			continue
 		}
 		free := v.Size.Sub(v.Committed.Max(v.Measured))
-		out.VMs = append(out.VMs, VMSummary{ID: id, FailureDomain: v.FailureDomain, Free: free})
+		out.FailureDomain = v.FailureDomain
+		out.VMs = append(out.VMs, VMSummary{ID: id, Free: free})
 	}
 	return out
 }
