--- a/scheduler/commands.go
+++ b/scheduler/commands.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"time"
 
 	"github.com/peridotlock/peridotlock/api/command"
 	"github.com/peridotlock/peridotlock/api/problem"
@@ -24,10 +25,14 @@
 	if ok, reason := p.s.follow.Ready(); !ok {
 		return command.Receipt{}, problem.NotReady("settings are not known yet: %s", reason)
 	}
+	if err := p.catchUp(ctx, e.Base); err != nil {
+		return command.Receipt{}, err
+	}
+	trial := p.s.settings.Trial(e.Edit)
 	if known, ok := p.s.settings.Outcome(e.Key); ok {
 		return receipt(e.Key, known), nil
 	}
-	if trial := p.s.settings.Trial(e.Edit); trial.Result != settings.Applied {
+	if trial.Result != settings.Applied {
 		return receipt(e.Key, trial), nil
 	}
 	data, err := e.Encode()
@@ -42,6 +47,20 @@
 	return p.readBack(ctx, e.Key, offset)
 }
 
+// catchUpLimit bounds the wait for an edit's base.
+const catchUpLimit = 3 * time.Second
+
+// catchUp waits until this node has read the base of an edit, which the client
+// may have from a node that is ahead.
+func (p publisher) catchUp(ctx context.Context, base platform.Offset) error {
+	ctx, cancel := context.WithTimeout(ctx, catchUpLimit)
+	defer cancel()
+	if err := p.s.follow.WaitFor(ctx, base); err != nil {
+		return problem.NotReady("revision %d, from which the edit was made, is not known here", base)
+	}
+	return nil
+}
+
 // readBack waits until the record was interpreted. It is on the log, so a
 // failure to learn its effect leaves the outcome in doubt.
 func (p publisher) readBack(ctx context.Context, key string, offset platform.Offset) (command.Receipt, error) {
