--- a/daemon/ctl/diff.go
+++ b/daemon/ctl/diff.go
@@ -6,7 +6,6 @@
 	"os"
 	"strings"
 
-	"github.com/peridotlock/peridotlock/api/query"
 	"github.com/peridotlock/peridotlock/finding"
 )
 
@@ -19,8 +18,8 @@
 
 func (c *diffCommand) check() finding.List {
 	var found finding.List
-	offset(&found, "--from", c.From, query.Present)
-	offset(&found, "--to", c.To, query.Present)
+	offset(&found, "--from", c.From)
+	offset(&found, "--to", c.To)
 	if (c.File == "") == (c.From == "") {
 		found.Addf("file", "give either a file or --from")
 	}
@@ -34,8 +33,7 @@
 
 // Run prints the difference.
 func (c *diffCommand) Run(s *session) error {
-	var found finding.List
-	before, err := s.client.Document(s.ctx, branchPath(c.Branch), offset(&found, "--from", c.From, query.Present))
+	before, err := s.client.Document(s.ctx, branchPath(c.Branch), offsetOf(c.From))
 	if err != nil {
 		return err
 	}
@@ -52,8 +50,7 @@
 		data, err := os.ReadFile(c.File)
 		return string(data), err
 	}
-	var found finding.List
-	doc, err := s.client.Document(s.ctx, branchPath(c.Branch), offset(&found, "--to", c.To, query.Present))
+	doc, err := s.client.Document(s.ctx, branchPath(c.Branch), offsetOf(c.To))
 	return doc.Text, err
 }
 
--- a/daemon/ctl/flag.go
+++ b/daemon/ctl/flag.go
@@ -1,6 +1,7 @@
 package ctl
 
 import (
+	"math"
 	"net/netip"
 	"strconv"
 	"strings"
@@ -8,11 +9,15 @@
 
 	"github.com/alecthomas/kong"
 
+	"github.com/peridotlock/peridotlock/api/query"
 	"github.com/peridotlock/peridotlock/finding"
 	"github.com/peridotlock/peridotlock/fleet"
 	"github.com/peridotlock/peridotlock/platform"
 )
 
+// maxLimit is the most items of one answer.
+const maxLimit = 1000
+
 // The forms of output.
 const (
 	outputText = "text"
@@ -76,10 +81,10 @@
 // branchPath reads a path; a leading slash and the root as "/" are allowed.
 func branchPath(text string) fleet.Path { return fleet.Path(strings.Trim(text, "/")) }
 
-// offset reads a revision; an empty text is absent.
-func offset(found *finding.List, flag, text string, absent platform.Offset) platform.Offset {
+// offset reads a revision; an empty text is the present one.
+func offset(found *finding.List, flag, text string) platform.Offset {
 	if text == "" {
-		return absent
+		return query.Present
 	}
 	n, err := strconv.ParseInt(text, 10, 64)
 	if err != nil || n < -1 {
@@ -107,3 +112,20 @@
 	}
 	return d
 }
+
+// The functions below read values that check has passed.
+
+func offsetOf(text string) platform.Offset {
+	var passed finding.List
+	return offset(&passed, "", text)
+}
+
+func countOf(text string) int {
+	var passed finding.List
+	return count(&passed, "", text, 0, math.MaxInt)
+}
+
+func durationOf(text string) time.Duration {
+	var passed finding.List
+	return duration(&passed, "", text)
+}
--- a/daemon/ctl/job.go
+++ b/daemon/ctl/job.go
@@ -131,14 +131,13 @@
 
 func (c *listCommand) check() finding.List {
 	var found finding.List
-	count(&found, "--limit", c.Limit, 1, 1000)
+	count(&found, "--limit", c.Limit, 1, maxLimit)
 	return found
 }
 
 // Run prints the jobs.
 func (c *listCommand) Run(s *session) error {
-	var found finding.List
-	filter := query.JobFilter{Team: branchPath(c.Team), State: job.State(c.State), Limit: count(&found, "--limit", c.Limit, 1, 1000)}
+	filter := query.JobFilter{Team: branchPath(c.Team), State: job.State(c.State), Limit: countOf(c.Limit)}
 	list, err := s.client.List(s.ctx, filter)
 	if err != nil {
 		return err
--- a/daemon/ctl/publish.go
+++ b/daemon/ctl/publish.go
@@ -73,8 +73,7 @@
 	if err != nil {
 		return s.withDifference(err, e)
 	}
-	var found finding.List
-	wait := duration(&found, "--wait", f.Wait)
+	wait := durationOf(f.Wait)
 	if wait == 0 {
 		return s.printPublished(published{Outcome: problem.Accepted, Receipt: receipt, Took: time.Since(begin)})
 	}
--- a/daemon/ctl/settings.go
+++ b/daemon/ctl/settings.go
@@ -61,12 +61,12 @@
 
 func (c *publishCommand) check() finding.List {
 	found := c.editFlags.check()
-	offset(&found, "--base", c.Base, query.Present)
+	offset(&found, "--base", c.Base)
 	data, err := os.ReadFile(c.File)
 	switch {
 	case err != nil:
 		found = append(found, finding.Finding{File: c.File, Message: err.Error()})
-	case c.Branch == "":
+	case branchPath(c.Branch) == "":
 		found = append(found, settings.Check(c.File, data)...)
 	default:
 		found = append(found, settings.CheckBranch(branchPath(c.Branch), c.File, data)...)
@@ -90,11 +90,11 @@
 func (c *publishCommand) base(s *session, e settings.Edit) (platform.Offset, error) {
 	var found finding.List
 	if c.Base != "" {
-		return offset(&found, "--base", c.Base, query.Present), nil
+		return offsetOf(c.Base), nil
 	}
 	if line, ok := strings.CutPrefix(e.Text, baseHeader); ok {
 		line, _, _ = strings.Cut(line, "\n")
-		base := offset(&found, c.File, strings.TrimSpace(line), query.Present)
+		base := offset(&found, c.File, strings.TrimSpace(line))
 		return base, found.Err()
 	}
 	return s.presentBase(e.Branch)
@@ -111,89 +111,6 @@
 	return doc.Base, err
 }
 
-type showCommand struct {
-	Branch    string `arg:"" optional:"" help:"Path of the branch; the whole tree unless given."`
-	Effective string `help:"Print each value in force at this path with the branch and line that it comes from." placeholder:"PATH"`
-	Revision  string `help:"Print the document as of a former revision."`
-}
-
-func (c *showCommand) check() finding.List {
-	var found finding.List
-	offset(&found, "--revision", c.Revision, query.Present)
-	return found
-}
-
-// Run prints the document or the effective values.
-func (c *showCommand) Run(s *session) error {
-	if c.Effective != "" {
-		return c.effective(s)
-	}
-	var found finding.List
-	doc, err := s.client.Document(s.ctx, branchPath(c.Branch), offset(&found, "--revision", c.Revision, query.Present))
-	if err != nil {
-		return err
-	}
-	return s.out.print(doc, func(w io.Writer) { fmt.Fprint(w, withBase(doc)) })
-}
-
-// withBase puts the base into the first line, from which publish takes it.
-func withBase(d query.Document) string {
-	text := d.Text
-	if strings.HasPrefix(text, baseHeader) {
-		_, text, _ = strings.Cut(text, "\n")
-	}
-	return fmt.Sprintf("%s%d\n%s", baseHeader, d.Base, text)
-}
-
-func (c *showCommand) effective(s *session) error {
-	path := branchPath(c.Effective)
-	values, err := s.client.Effective(s.ctx, path)
-	if err != nil {
-		return err
-	}
-	return s.out.print(values, func(w io.Writer) {
-		for _, v := range values {
-			fmt.Fprintln(w, v)
-		}
-	})
-}
-
-type historyCommand struct {
-	Limit string `help:"How many." default:"20"`
-}
-
-func (c *historyCommand) check() finding.List {
-	var found finding.List
-	count(&found, "--limit", c.Limit, 1, 1000)
-	return found
-}
-
-// Run prints the history.
-func (c *historyCommand) Run(s *session) error {
-	var found finding.List
-	list, err := s.client.History(s.ctx, count(&found, "--limit", c.Limit, 1, 1000))
-	if err != nil {
-		return err
-	}
-	return s.out.table(list, "REVISION\tTIME\tAUTHOR\tBRANCH\tOPERATION\tRESULT\tNOTE", func(w io.Writer) {
-		for _, e := range list {
-			fmt.Fprintf(w, "%d\t%s\t%s\t/%s\t%s\t%s\t%s\n", e.Revision, e.Time.Format("2006-01-02T15:04:05Z"), e.Author, e.Branch, e.Operation, e.Result, e.Note)
-		}
-	})
-}
-
-type keysCommand struct{}
-
-// Run prints the keys.
-func (c *keysCommand) Run(s *session) error {
-	list := settings.Keys()
-	return s.out.table(list, "KEY\tON\tALLOWED\tDEFAULT", func(w io.Writer) {
-		for _, k := range list {
-			fmt.Fprintf(w, "%s\t%s\t%s\t%s\n", k.Name, k.On, k.Allowed, k.Default)
-		}
-	})
-}
-
 type revertCommand struct {
 	editFlags
 	Branch   string `arg:"" help:"Path of the branch; / for the whole tree."`
@@ -202,18 +119,17 @@
 
 func (c *revertCommand) check() finding.List {
 	found := c.editFlags.check()
-	offset(&found, "revision", c.Revision, query.Present)
+	offset(&found, "revision", c.Revision)
 	return found
 }
 
 // Run publishes the revert.
 func (c *revertCommand) Run(s *session) error {
-	var found finding.List
 	path := branchPath(c.Branch)
 	base, err := s.presentBase(path)
 	if err != nil {
 		return err
 	}
-	revision := offset(&found, "revision", c.Revision, query.Present)
+	revision := offsetOf(c.Revision)
 	return s.publish(&c.editFlags, settings.Edit{Branch: path, Base: base, Operation: settings.Revert, Revision: revision})
 }
--- a/daemon/ctl/watch.go
+++ b/daemon/ctl/watch.go
@@ -29,8 +29,7 @@
 // Run prints the job at each change until it is final. A server that does not
 // answer for a while does not end the watch.
 func (c *watchCommand) Run(s *session) error {
-	var found finding.List
-	deadline := time.NewTimer(duration(&found, "--timeout", c.Timeout))
+	deadline := time.NewTimer(durationOf(c.Timeout))
 	defer deadline.Stop()
 	last := ""
 	for {
--- a/settings/branch.go
+++ b/settings/branch.go
@@ -41,6 +41,12 @@
 	return KindNone
 }
 
+// has reports whether the branch itself sets key.
+func (b *branch) has(key string) bool {
+	_, ok := b.own[key]
+	return ok
+}
+
 // isOut reports whether the branch itself carries the mark.
 func (b *branch) isOut() bool {
 	v, ok := b.own[keyOut]
--- a/settings/read.go
+++ b/settings/read.go
@@ -145,11 +145,6 @@
 	}
 }
 
-func (b *branch) has(key string) bool {
-	_, ok := b.own[key]
-	return ok
-}
-
 func (r *reader) branches(b *branch, v *yaml.Node) {
 	if v.Kind != yaml.MappingNode {
 		r.addf(b.path, keyBranches, v, "must be a mapping of name to branch")
