Name the VMs that the peers have given up as not having settings in force

Cause: a scheduler that was frozen for longer than its peers wait was left out of the answer, so an edit was told in force everywhere while the entry of that VM still served by the older settings. Ruled out: asking dead members of the view only; the view forgets them. Change: VMs on the platform's list that the peers do not know count as not having acknowledged. Seen before: frozen.txtar with a freeze of 20 s: 'in force on all 4 processes' of six. Now it names both processes of the VM. Conclusion: a VM that is gone delays 'in force' until the platform's list drops it.

--- a/scheduler/inforce.go
+++ b/scheduler/inforce.go
@@ -41,14 +41,26 @@
 	return out, nil
 }
 
-// listening returns the members that should have the settings in force.
+// listening returns the members that should have the settings in force: those
+// that the peers know as live, and those on the platform's list that the peers
+// have given up, since their entries may still serve requests.
 func (s *Scheduler) listening() []membership.Member {
 	var out []membership.Member
+	known := make(map[string]bool)
 	for _, m := range s.members.Members() {
-		if m.State == membership.Live || m.State == membership.Suspect {
+		if m.State == membership.Dead {
+			continue
+		}
+		known[m.ID] = true
+		if m.State != membership.Leaving {
 			out = append(out, m)
 		}
 	}
+	for _, vm := range s.vms() {
+		if vm.Kind == platform.KindEntry && vm.State == platform.VMLive && !known[vm.ID] {
+			out = append(out, membership.Member{ID: vm.ID, FailureDomain: vm.FailureDomain, Control: vm.Control})
+		}
+	}
 	return out
 }
 
