--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -80,9 +80,8 @@
 			r := EchoReply{Text: "untouched"}
 			err := client.Call(short, "Echo.Late", EchoArgs{"late"}, &r)
 			So(errors.Is(err, ErrUnanswered), ShouldBeTrue)
-			for range 1000 {
-				So(r.Text, ShouldEqual, "untouched")
-			}
+			So(client.Call(ctx, "Echo.Late", EchoArgs{"next"}, &EchoReply{}), ShouldBeNil)
+			So(r.Text, ShouldEqual, "untouched")
 		})
 		Convey("a closed port means not sent", func() {
 			gone, err := net.Listen("tcp", "127.0.0.1:0")
