scheduler: spread the readers' duties over the nodes of a failure domain

Cause: one node per failure domain read both streams and the list, and served all its neighbours with all three. Change: settings, claims and list have different readers; a silent peer is given up after 1 s beyond the wait. Conclusion: go test ./relay passes.

--- a/relay/client.go
+++ b/relay/client.go
@@ -14,7 +14,7 @@
 
 const (
 	snapshotWait = 700 * time.Millisecond
-	answerMargin = 2 * time.Second // beyond the wait of a long poll
+	answerMargin = time.Second // beyond the wait of a long poll
 	retryWait    = 300 * time.Millisecond
 )
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -82,8 +82,8 @@
 func (s *Scheduler) buildStreams() {
 	defaults := settings.DefaultLogPolicy()
 	s.writer = stream.NewWriter(s.o.Log, stream.WriterOptions{AppendsPerSecond: defaults.AppendsPerSecond, Logger: s.log})
-	s.follow = s.newReplica(stream.SettingsStream, s.settings, s.peer)
-	s.ownership = s.newReplica(stream.OwnershipStream, s.claims, s.peer)
+	s.follow = s.newReplica(stream.SettingsStream, s.settings, func() stream.Source { return s.peer(readSettings) })
+	s.ownership = s.newReplica(stream.OwnershipStream, s.claims, func() stream.Source { return s.peer(readClaims) })
 	self := membership.Update{ID: s.o.Node.Name, FailureDomain: s.o.Node.FailureDomain, Control: s.o.Node.Control}
 	s.members = membership.NewProber(self, relay.NewLister(s.o.VMs, s.pool, s.listReader).VMs, membership.PoolTransport{Pool: s.pool}, membership.ProberOptions{
 		Options: membership.Options{Region: s.region},
--- a/scheduler/view.go
+++ b/scheduler/view.go
@@ -66,11 +66,21 @@
 	return out
 }
 
-// peer returns whom to follow in place of the log: the first live node of the
-// failure domain reads the log, the others follow it. A node that knows nothing
-// yet may ask any live node.
-func (s *Scheduler) peer() stream.Source {
-	reader, anyone := s.readers()
+// duty is something that one node reads for its failure domain. Different nodes
+// have the duties, so that none serves all its neighbours with everything.
+type duty int
+
+const (
+	readSettings duty = iota
+	readClaims
+	readList
+)
+
+// peer returns whom to follow in place of the log: the live node of the failure
+// domain that has the duty reads the log, the others follow it. A node that
+// knows nothing yet may ask any live node.
+func (s *Scheduler) peer(d duty) stream.Source {
+	reader, anyone := s.readers(d)
 	if reader.ID != "" && reader.ID != s.o.Node.Name {
 		return relay.Peer(s.pool, reader.Control)
 	}
@@ -83,26 +93,30 @@
 // listReader returns the address of the node that reads the list of VMs for
 // this failure domain, or "" when that is this node or unknown.
 func (s *Scheduler) listReader() string {
-	reader, _ := s.readers()
+	reader, _ := s.readers(readList)
 	if reader.ID == s.o.Node.Name {
 		return ""
 	}
 	return reader.Control
 }
 
-// readers returns the first live node of this failure domain and the first
-// other live node anywhere.
-func (s *Scheduler) readers() (reader, anyone membership.Member) {
+// readers returns the live node of this failure domain that has the duty, and
+// the first other live node anywhere.
+func (s *Scheduler) readers(d duty) (reader, anyone membership.Member) {
+	var near []membership.Member
 	for _, m := range s.members.Members() {
 		if m.State != membership.Live {
 			continue
 		}
-		if m.FailureDomain == s.o.Node.FailureDomain && reader.ID == "" {
-			reader = m
+		if m.FailureDomain == s.o.Node.FailureDomain {
+			near = append(near, m)
 		}
 		if m.ID != s.o.Node.Name && anyone.ID == "" {
 			anyone = m
 		}
 	}
-	return reader, anyone
+	if len(near) == 0 {
+		return reader, anyone
+	}
+	return near[int(d)%len(near)], anyone
 }
