--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -60,9 +60,10 @@
 			So(client.Call(ctx, "Echo.Say", EchoArgs{"b"}, &r), ShouldBeNil)
 		})
 		Convey("a call past its deadline is unanswered and the next one works", func() {
+			var r EchoReply
+			So(client.Call(ctx, "Echo.Say", EchoArgs{"a"}, &r), ShouldBeNil) // connects
 			short, stop := context.WithTimeout(ctx, 20*time.Millisecond)
 			defer stop()
-			var r EchoReply
 			err := client.Call(short, "Echo.Hang", EchoArgs{}, &r)
 			So(errors.Is(err, ErrUnanswered), ShouldBeTrue)
 			So(client.Call(ctx, "Echo.Say", EchoArgs{"c"}, &r), ShouldBeNil)
