--- a/stream/stream.go
+++ b/stream/stream.go
@@ -44,7 +44,8 @@
 	Apply(r platform.Record)
 	// Snapshot returns the whole state.
 	Snapshot() ([]byte, error)
-	// Restore replaces the state by that of a snapshot.
+	// Restore replaces the state by that of a snapshot; on an error it leaves the
+	// state as it is.
 	Restore(data []byte) error
 }
 
