Load the demo so that a take-out evicts, and fail on silent watches

Cause: at its former load the demo showed no eviction, and a watch that told nothing did not fail it. Change: longer appraisals and a job with accelerators; watches count.

--- a/demo/jobs.go
+++ b/demo/jobs.go
@@ -29,12 +29,13 @@
 // batchJobs is a job file; %[1]d tells one batch from another.
 const batchJobs = `jobs:
   - {name: certificates-%[1]d, team: zavod/certificates, kind: certificate-run, class: batch, count: 6, size: {milli-cpu: 1000, memory-mb: 1024}, run-time: 3s, idempotency-key: certificates-%[1]d}
-  - {name: appraisals-%[1]d, team: zavod/appraisals, kind: tuning-appraisal, class: batch, count: 2, size: {milli-cpu: 2000, memory-mb: 2048, accelerators: 1}, run-time: 2s, failure-domains: [zavod/kontinent], idempotency-key: appraisals-%[1]d}
+  - {name: appraisals-%[1]d, team: zavod/appraisals, kind: tuning-appraisal, class: batch, count: 3, size: {milli-cpu: 1000, memory-mb: 2048}, run-time: 6s, failure-domains: [zavod/kontinent], idempotency-key: appraisals-%[1]d}
+  - {name: spectra-%[1]d, team: zavod/appraisals, kind: tuning-appraisal, class: batch, count: 1, size: {milli-cpu: 1000, memory-mb: 1024, accelerators: 1}, run-time: 2s, idempotency-key: spectra-%[1]d}
   - {name: release-%[1]d, team: authority/releases, kind: production-release, class: batch, count: 2, size: {milli-cpu: 1000, memory-mb: 1024}, run-time: 3s, urgent: true, deadline: 30s, idempotency-key: release-%[1]d}
 `
 
-// tasksOf is how many tasks the jobs of a batch have, by team.
-var tasksOf = []int{6, 2, 2}
+// tasksOf is how many tasks each job of a batch has.
+var tasksOf = []int{6, 3, 1, 2}
 
 // shapes is the request mix of both services.
 func shapes() []caller.Shape {
--- a/demo/report.go
+++ b/demo/report.go
@@ -93,7 +93,8 @@
 
 func (v verdict) isSound() bool {
 	tasks := len(v.ledger.Violations) + len(v.unfinished) + len(v.misreports) + len(v.lateStarts) + len(v.failures)
-	return v.requests.IsSound() && tasks == 0
+	watches := v.requests.Watches - v.requests.WatchesAnswered
+	return v.requests.IsSound() && tasks+watches == 0
 }
 
 func (v verdict) print(r *run) {
