--- a/daemon/standin/call.go
+++ b/daemon/standin/call.go
@@ -24,27 +24,32 @@
 	Rate     float64       `default:"100" help:"Requests a second."`
 	Duration time.Duration `default:"5s" help:"How long to send."`
 	Deadline time.Duration `default:"5s" help:"Deadline of a request."`
+	Slow     time.Duration `help:"Also send a few orders that take this much longer."`
 	Lookup   string        `default:"/registry/pipes" help:"Path of idempotent requests."`
 	Order    string        `default:"/registry/records" help:"Path of non-idempotent requests."`
 	Watch    string        `default:"/registry/watch" help:"Path of watches."`
 }
 
-// shapes is the mix: mostly lookups, some orders, a few large answers and
-// watches.
-func shapes(lookup, order, watch string) []caller.Shape {
-	return []caller.Shape{
-		{Class: fleet.Idempotent, Method: http.MethodGet, Path: lookup, Weight: 70, Bytes: 2 << 10},
-		{Class: fleet.Idempotent, Method: http.MethodGet, Path: lookup, Weight: 2, Bytes: 512 << 10},
-		{Class: fleet.NonIdempotent, Method: http.MethodPost, Path: order, Weight: 26, Bytes: 512},
-		{Class: fleet.Watch, Method: http.MethodGet, Path: watch, Weight: 2},
+// shapes is the mix: mostly lookups, some orders, a few large answers, slow
+// orders and watches.
+func (c callCommand) shapes() []caller.Shape {
+	out := []caller.Shape{
+		{Class: fleet.Idempotent, Method: http.MethodGet, Path: c.Lookup, Weight: 70, Bytes: 2 << 10},
+		{Class: fleet.Idempotent, Method: http.MethodGet, Path: c.Lookup, Weight: 2, Bytes: 512 << 10},
+		{Class: fleet.NonIdempotent, Method: http.MethodPost, Path: c.Order, Weight: 26, Bytes: 512},
+		{Class: fleet.Watch, Method: http.MethodGet, Path: c.Watch, Weight: 2},
 	}
+	if c.Slow > 0 {
+		out = append(out, caller.Shape{Class: fleet.NonIdempotent, Method: http.MethodPost, Path: c.Order, Weight: 5, Bytes: 512, Delay: c.Slow})
+	}
+	return out
 }
 
 // run prints the summary as JSON. It fails when anything was lost, doubled or
 // misreported.
 func (c callCommand) run(ctx context.Context, stdout, stderr io.Writer) int {
 	callers := caller.New(caller.Options{
-		Name: c.Name, Entries: c.entries(), Shapes: shapes(c.Lookup, c.Order, c.Watch), Rate: c.Rate, Deadline: c.Deadline,
+		Name: c.Name, Entries: c.entries(), Shapes: c.shapes(), Rate: c.Rate, Deadline: c.Deadline,
 	})
 	ctx, cancel := context.WithTimeout(ctx, c.Duration)
 	defer cancel()
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -26,8 +26,9 @@
 	Method string
 	Host   string // Host header; empty for the entry's address
 	Path   string
-	Weight int // share among the shapes
-	Bytes  int // size of the answer
+	Weight int           // share among the shapes
+	Bytes  int           // size of the answer
+	Delay  time.Duration // on top of the executor's service time
 }
 
 // Options describe a run of callers.
--- a/standin/caller/exchange.go
+++ b/standin/caller/exchange.go
@@ -60,7 +60,8 @@
 }
 
 func (c *Callers) request(ctx context.Context, id string, s Shape, body []byte) (*http.Request, error) {
-	url := fmt.Sprintf("http://%s%s?%s=%d", c.balancer.pick().Address, s.Path, executor.ParamBytes, s.Bytes)
+	url := fmt.Sprintf("http://%s%s?%s=%d&%s=%d", c.balancer.pick().Address, s.Path,
+		executor.ParamBytes, s.Bytes, executor.ParamDelay, s.Delay.Milliseconds())
 	req, err := http.NewRequestWithContext(ctx, s.Method, url, bytes.NewReader(body))
 	if err != nil {
 		return nil, err
--- a/standin/executor/executor.go
+++ b/standin/executor/executor.go
@@ -67,7 +67,7 @@
 	}
 	defer e.release()
 	execution := e.ledger.StartExecution(q.id, q.execution(e.opts.ID))
-	e.work(time.Duration(f.ServiceDelay) * time.Millisecond)
+	e.work(time.Duration(f.ServiceDelay)*time.Millisecond + q.delay)
 	e.answer(w, q, execution)
 }
 
--- a/standin/executor/query.go
+++ b/standin/executor/query.go
@@ -17,11 +17,13 @@
 const (
 	HeaderRequestID = "X-Request-Id" // names the request in the ledger and the answer
 	ParamBytes      = "bytes"        // size of the answer
+	ParamDelay      = "delay_ms"     // added to the service time
 	ParamEvents     = "events"       // events of a watch; 0 for no end
 	watchMedia      = "text/event-stream"
 	headerAttempt   = "Peridotlock-Attempt-Id"
 	headerKey       = "Idempotency-Key" // names the request when it has no id
 	maxAnswerBytes  = 64 << 20
+	maxDelay        = time.Minute
 )
 
 // query is what a request asks of the executor.
@@ -30,6 +32,7 @@
 	attempt          string // id of the entry's attempt, repeated in the answer
 	body             string // hash
 	bytes, events    int
+	delay            time.Duration
 	watch            bool
 }
 
@@ -41,7 +44,9 @@
 	values := r.URL.Query()
 	size, _ := strconv.Atoi(values.Get(ParamBytes))
 	events, _ := strconv.Atoi(values.Get(ParamEvents))
+	delay, _ := strconv.Atoi(values.Get(ParamDelay))
 	return query{
+		delay:   min(time.Duration(delay)*time.Millisecond, maxDelay),
 		id:      id,
 		method:  r.Method,
 		attempt: r.Header.Get(headerAttempt),
