--- a/queue/client.go
+++ b/queue/client.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/rpc"
+	"time"
 
 	"github.com/peridotlock/peridotlock/fleet"
 	"github.com/peridotlock/peridotlock/job"
@@ -24,6 +25,22 @@
 // ErrUnknownJob says that the queue has no such job; it wraps ErrNotDone.
 var ErrUnknownJob = fmt.Errorf("%w: unknown job", ErrNotDone)
 
+// ErrNotOwned says that the queue has no owner that can answer yet, as for some
+// seconds after a node was lost; it wraps ErrNotDone.
+var ErrNotOwned = fmt.Errorf("%w: the queue has no owner that is ready", ErrNotDone)
+
+const (
+	ownerWait  = 10 * time.Second // for an owner and its answer
+	ownerRetry = 200 * time.Millisecond
+)
+
+// coded is a reply with a code.
+type coded interface{ code() Code }
+
+func (r *SubmitReply) code() Code { return r.Code }
+func (r *JobReply) code() Code    { return r.Code }
+func (r *ListReply) code() Code   { return r.Code }
+
 // Client forwards calls to the owner of the queue that they are about. Each
 // error wraps ErrNotDone or ErrOutcomeUnknown.
 type Client struct {
@@ -80,17 +97,39 @@
 	return r.Job, codeError(r.Code, r.Detail)
 }
 
-func (c *Client) call(ctx context.Context, queue fleet.Path, method string, args, reply any) error {
+// call repeats a call that certainly reached no owner of the queue, as during a
+// takeover.
+func (c *Client) call(ctx context.Context, queue fleet.Path, method string, args any, reply coded) error {
+	ctx, cancel := context.WithTimeout(ctx, ownerWait)
+	defer cancel()
+	for {
+		err := c.callOnce(ctx, queue, method, args, reply)
+		code := reply.code()
+		again := errors.Is(err, ErrNotOwned) || (err == nil && (code == NotOwner || code == NotReady))
+		if !again {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(ownerRetry):
+		}
+	}
+}
+
+func (c *Client) callOnce(ctx context.Context, queue fleet.Path, method string, args, reply any) error {
 	_, addr, ok := c.directory.Owner(ownership.Unit{Kind: ownership.Queue, Path: queue})
 	if !ok {
-		return fmt.Errorf("%w: queue %s has no owner", ErrNotDone, queue)
+		return fmt.Errorf("%w: %s", ErrNotOwned, queue)
 	}
 	err := c.pool.Client(addr).Call(ctx, ServiceName+"."+method, args, reply)
 	var served rpc.ServerError
 	switch {
 	case err == nil:
 		return nil
-	case errors.Is(err, wire.ErrNotSent), errors.As(err, &served):
+	case errors.Is(err, wire.ErrNotSent) && !errors.Is(err, wire.ErrBusy):
+		return fmt.Errorf("%w: %w", ErrNotOwned, err)
+	case errors.Is(err, wire.ErrBusy), errors.As(err, &served):
 		return fmt.Errorf("%w: %w", ErrNotDone, err)
 	}
 	return fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
@@ -100,6 +139,8 @@
 	switch code {
 	case OK:
 		return nil
+	case NotOwner, NotReady:
+		return fmt.Errorf("%w: %s", ErrNotOwned, code)
 	case InDoubt:
 		return fmt.Errorf("%w: %s", ErrOutcomeUnknown, detail)
 	case Invalid:
