--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -85,7 +85,7 @@
 // silence is the time to the first byte of an answer after which the
 // connection is suspected.
 func (c *call) silence() time.Duration {
-	tail := c.service.set.Latency.Tail()
+	tail := c.service.latency(c.class).Tail()
 	if tail == 0 {
 		return firstSilence
 	}
@@ -176,6 +176,7 @@
 		return
 	}
 	c.service.set.Learn(e, took, now)
+	c.service.latency(c.class).Observe(took)
 	if c.service.queue.Waiting() == 0 && c.service.set.EjectSlow(e, now) {
 		c.ejected(e, "slow")
 	}
--- a/entry/balance/balance_test.go
+++ b/entry/balance/balance_test.go
@@ -92,6 +92,7 @@
 			for range 2 {
 				So(set.Acquire(Choice{Now: now, Probe: true}).Endpoint, ShouldEqual, good)
 			}
+			So(set.Fail(bad, now), ShouldBeFalse)
 			later := now.Add(minEjection)
 			So(set.Acquire(Choice{Now: later}), ShouldBeNil)
 			probe := set.Acquire(Choice{Now: later, Probe: true})
--- a/entry/balance/health.go
+++ b/entry/balance/health.go
@@ -42,13 +42,21 @@
 // Fail records a failure at now. It reports whether the endpoint ought to be
 // ejected.
 func (h *Health) Fail(now time.Time) bool {
-	if h.ejected.Load() != 0 {
-		h.Eject(now)
+	if h.IsEjected() {
+		h.ejectAgain(now)
 		return false
 	}
 	return h.failures.Add(1) >= ejectAfter
 }
 
+// ejectAgain prolongs an ejection that was over. Failures of requests that were
+// sent before the ejection tell nothing new.
+func (h *Health) ejectAgain(now time.Time) {
+	if now.UnixNano() >= h.ejected.Load() {
+		h.Eject(now)
+	}
+}
+
 // Renew records that the connections were renewed after a silence. It reports
 // whether that was the first time since the last success: only then is the
 // silence put down to the connections.
--- a/entry/balance/verdict.go
+++ b/entry/balance/verdict.go
@@ -33,7 +33,7 @@
 // FailConnect records that e took no connection, which needs no second sign.
 func (s *Set) FailConnect(e *Endpoint, now time.Time) bool {
 	if e.Health.IsEjected() {
-		e.Health.Eject(now)
+		e.Health.ejectAgain(now)
 		return false
 	}
 	return s.eject(e, now)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -58,7 +58,9 @@
 	path  string
 	set   *balance.Set
 	queue *admit.Queue
-	bytes atomic.Uint64 // mean bytes of a request and its answer; float bits
+	read  balance.Latency // of idempotent requests
+	write balance.Latency // of non-idempotent requests
+	bytes atomic.Uint64   // mean bytes of a request and its answer; float bits
 }
 
 // New returns an entry without a snapshot, which refuses all requests.
@@ -127,6 +129,14 @@
 // regions.
 func (e *Entry) LinkBytes() int64 { return e.link.Bytes() }
 
+// latency returns what was learned of requests of a class.
+func (s *service) latency(class fleet.RequestClass) *balance.Latency {
+	if class == fleet.NonIdempotent {
+		return &s.write
+	}
+	return &s.read
+}
+
 const (
 	bytesWeight  = 0.1  // of a new sample in the mean
 	initialBytes = 2048 // assumed before the first answer
--- a/entry/pool/pool.go
+++ b/entry/pool/pool.go
@@ -9,6 +9,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -93,18 +94,31 @@
 	return newConn(c, generation), nil
 }
 
-// put makes c available again unless its generation was retired.
+// put makes c available again unless its generation was retired. Of the
+// connections that idled too long it closes one.
 func (p *Pool) put(c *conn) {
 	c.idleSince = time.Now()
+	unused := c
 	p.mu.Lock()
-	current := c.generation == p.generation
-	if current {
+	if c.generation == p.generation {
 		p.idle = append(p.idle, c)
+		unused = p.takeStale(c.idleSince)
 	}
 	p.mu.Unlock()
-	if !current {
-		p.discard(c)
+	if unused != nil {
+		p.discard(unused)
+	}
+}
+
+// takeStale removes the connection that idled longest if that was too long.
+// The caller holds the lock.
+func (p *Pool) takeStale(now time.Time) *conn {
+	oldest := p.idle[0]
+	if now.Sub(oldest.idleSince) < idleTimeout {
+		return nil
 	}
+	p.idle = slices.Delete(p.idle, 0, 1)
+	return oldest
 }
 
 func (p *Pool) isRetired(c *conn) bool {
--- a/entry/race.go
+++ b/entry/race.go
@@ -141,7 +141,7 @@
 }
 
 func (r *race) hedgeDelay() time.Duration {
-	tail := r.call.service.set.Latency.Tail()
+	tail := r.call.service.latency(r.call.class).Tail()
 	if tail == 0 {
 		return firstHedge
 	}
--- a/entry/source/source.go
+++ b/entry/source/source.go
@@ -22,6 +22,7 @@
 	minBackoff   = 100 * time.Millisecond
 	maxBackoff   = 2 * time.Second
 	noRevision   = platform.Offset(-1)
+	noList       = 0 // hash of a scheduler that has no list yet
 )
 
 // Snapshot is one immutable state of the settings and the VM list.
@@ -84,14 +85,15 @@
 }
 
 // merge takes what is newer than what is held and reports whether there is
-// anything new to apply. An older revision is never taken.
+// anything new to apply. An older revision is never taken, and the list of a
+// scheduler that has none yet leaves the held one in force.
 func (s *Source) merge(r relay.SnapshotReply) bool {
 	changed := false
 	if r.View != nil && (s.held.View == nil || r.View.Revision > s.held.View.Revision) {
 		s.held.View = r.View
 		changed = true
 	}
-	if r.VMsHash != s.hash {
+	if r.VMsHash != noList && r.VMsHash != s.hash {
 		s.held.VMs = r.VMs
 		s.hash = r.VMsHash
 		changed = true
