--- a/standin/ledger/query.go
+++ b/standin/ledger/query.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"slices"
 	"time"
 
 	"github.com/peridotlock/peridotlock/fleet"
@@ -19,8 +20,9 @@
 type Summary struct {
 	Runs             int                   `json:"runs"`
 	Running          int                   `json:"running"`
-	Outcomes         map[string]int        `json:"outcomes"` // ended runs by outcome
-	Resumes          int                   `json:"resumes"`  // runs that began at a checkpoint
+	Outcomes         map[string]int        `json:"outcomes"`       // ended runs by outcome
+	TasksFinished    int                   `json:"tasks_finished"` // each counts once
+	Resumes          int                   `json:"resumes"`        // runs that began at a checkpoint
 	RunsByDomain     map[fleet.Path]int    `json:"runs_by_domain"`
 	Requests         int                   `json:"requests"`
 	Executions       int                   `json:"executions"`
@@ -44,6 +46,11 @@
 	for _, r := range l.runs {
 		s.addRun(r)
 	}
+	for _, runs := range l.byTask {
+		if slices.ContainsFunc(runs, func(r *Run) bool { return r.Finished }) {
+			s.TasksFinished++
+		}
+	}
 	for _, executions := range l.requests {
 		s.Executions += len(executions)
 		if len(executions) > 1 {
@@ -91,17 +98,35 @@
 	return f.FailureDomain.Contains(r.FailureDomain) && r.Start.After(f.After)
 }
 
-// Executions returns the executions of one request.
-func (l *Ledger) Executions(id string) []Execution {
+// ExecutionFilter selects executions; zero members select all.
+type ExecutionFilter struct {
+	Request  string
+	Endpoint string
+	After    time.Time // started after
+}
+
+// Executions returns the executions that the filter selects.
+func (l *Ledger) Executions(f ExecutionFilter) []Execution {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	out := []Execution{}
-	for _, e := range l.requests[id] {
-		out = append(out, *e)
+	for id, executions := range l.requests {
+		if f.Request != "" && f.Request != id {
+			continue
+		}
+		for _, e := range executions {
+			if f.selects(e) {
+				out = append(out, *e)
+			}
+		}
 	}
 	return out
 }
 
+func (f ExecutionFilter) selects(e *Execution) bool {
+	return (f.Endpoint == "" || f.Endpoint == e.Endpoint) && e.Start.After(f.After)
+}
+
 // ExecutionCounts returns how often each request was executed.
 func (l *Ledger) ExecutionCounts() map[string]int {
 	l.mu.Lock()
--- a/wire/metrics.go
+++ b/wire/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 )
@@ -10,12 +11,16 @@
 var (
 	bytesReceived = metrics.NewCounter(`peridotlock_peer_bytes_total{direction="received"}`)
 	bytesSent     = metrics.NewCounter(`peridotlock_peer_bytes_total{direction="sent"}`)
-	callsSent     = metrics.NewCounter(`peridotlock_peer_calls_total`)
 	callsNotSent  = metrics.NewCounter(`peridotlock_peer_call_failures_total{reason="not-sent"}`)
 	callsLost     = metrics.NewCounter(`peridotlock_peer_call_failures_total{reason="unanswered"}`)
 )
 
-// countedConn counts the bytes of a connection.
+// countCall counts a call by its method, of which there are few.
+func countCall(method string) {
+	metrics.GetOrCreateCounter(`peridotlock_peer_calls_total{method="` + method + `"}`).Inc()
+}
+
+// countedConn counts the bytes of a connection and bounds the time of a write.
 type countedConn struct{ net.Conn }
 
 // Read implements net.Conn.
@@ -27,6 +32,9 @@
 
 // Write implements net.Conn.
 func (c countedConn) Write(p []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(sendTimeout)); err != nil {
+		return 0, err
+	}
 	n, err := c.Conn.Write(p)
 	bytesSent.Add(n)
 	return n, err
