Take test ports outside the range of outgoing connections

Cause: a port that was reserved and freed can be taken by an outgoing connection before the daemon listens. Change: ports below that range, a part for each process.

--- a/daemon/entry/run_test.go
+++ b/daemon/entry/run_test.go
@@ -46,11 +46,27 @@
 	return nil
 }
 
+// Ports outside the range that the kernel gives to outgoing connections, and
+// of a part that differs by process.
+const (
+	firstPort    = 12000
+	portsEach    = 100
+	portProcess  = 180
+	portAttempts = 100
+)
+
+var portsGiven atomic.Int32
+
 func freeAddr() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	So(err, ShouldBeNil)
-	defer l.Close()
-	return l.Addr().String()
+	for range portAttempts {
+		port := firstPort + os.Getpid()%portProcess*portsEach + int(portsGiven.Add(1))%portsEach
+		l, err := net.Listen("tcp", fmt.Sprint("127.0.0.1:", port))
+		if err == nil {
+			defer l.Close()
+			return l.Addr().String()
+		}
+	}
+	panic("no free port")
 }
 
 func eventually(condition func() bool) bool {
