Retry and hedge on fresh connections, and probe before a request does

Cause: when all connections went silent at once, hedges met silent idle connections of other endpoints; requests that probed a dead endpoint waited for its connection. Change: every attempt but the first uses a new connection; an ejected endpoint gets a request only after it took a connection in the background.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -32,7 +32,7 @@
 )
 
 const (
-	silenceRatio  = 3 // of the learned tail latency
+	silenceRatio  = 2 // of the learned tail latency
 	minSilence    = 20 * time.Millisecond
 	firstSilence  = time.Second          // before anything is learned
 	returnMargin  = 2 * time.Millisecond // kept back from an endpoint's deadline
@@ -49,6 +49,7 @@
 	defer span.End()
 	id := newAttemptID()
 	x := c.exchange(ctx, id)
+	x.Fresh = kind != attemptFirst
 	x.OnSilence = func() { c.suspect(slot) }
 	start := time.Now()
 	a, err := slot.Endpoint.Pool.Do(ctx, x)
--- a/entry/balance/balance_test.go
+++ b/entry/balance/balance_test.go
@@ -95,6 +95,7 @@
 			So(set.Fail(bad, now), ShouldBeFalse)
 			later := now.Add(minEjection)
 			So(set.Acquire(Choice{Now: later}), ShouldBeNil)
+			bad.Health.Reach()
 			probe := set.Acquire(Choice{Now: later, Probe: true})
 			So(probe.Endpoint, ShouldEqual, bad)
 			So(set.Acquire(Choice{Now: later, Probe: true}), ShouldBeNil)
--- a/entry/balance/endpoint.go
+++ b/entry/balance/endpoint.go
@@ -40,6 +40,20 @@
 	}
 }
 
+// reach finds out in the background whether the endpoint takes connections.
+func (e *Endpoint) reach() {
+	if e.Health.reachable.Load() {
+		return
+	}
+	e.Pool.Probe(func(err error) {
+		if err == nil {
+			e.Health.Reach()
+			return
+		}
+		e.Health.ejectAgain(time.Now())
+	})
+}
+
 // cost is the expected time to an answer if one more request is sent.
 func (e *Endpoint) cost(distance time.Duration) time.Duration {
 	share := float64(e.inFlight.Load()+1) / float64(e.Limit.Value())
--- a/entry/balance/health.go
+++ b/entry/balance/health.go
@@ -20,6 +20,7 @@
 	ejections atomic.Int32 // since the last success
 	ejected   atomic.Int64 // until; 0 when not ejected
 	leaving   atomic.Int64 // until
+	reachable atomic.Bool  // took a connection since the last ejection
 	probe     atomic.Bool  // one request tries whether it has recovered
 }
 
@@ -52,7 +53,7 @@
 // ejectAgain prolongs an ejection that was over. Failures of requests that were
 // sent before the ejection tell nothing new.
 func (h *Health) ejectAgain(now time.Time) {
-	if now.UnixNano() >= h.ejected.Load() {
+	if h.IsOver(now) {
 		h.Eject(now)
 	}
 }
@@ -66,6 +67,7 @@
 func (h *Health) Eject(now time.Time) {
 	n := min(h.ejections.Add(1)-1, maxDoublings)
 	h.failures.Store(0)
+	h.reachable.Store(false)
 	h.ejected.Store(now.Add(min(minEjection<<n, maxEjection)).UnixNano())
 	h.probe.Store(false)
 }
@@ -79,11 +81,20 @@
 // IsLeaving reports whether the endpoint gets no new work for now.
 func (h *Health) IsLeaving(now time.Time) bool { return now.UnixNano() < h.leaving.Load() }
 
-// TryProbe reports whether the ejection is over and this request may try the
-// endpoint; it is true once until the next success or failure.
-func (h *Health) TryProbe(now time.Time) bool {
+// IsOver reports whether the time of an ejection is over, so that the endpoint
+// may be probed: first with a connection, then with one request.
+func (h *Health) IsOver(now time.Time) bool {
 	until := h.ejected.Load()
-	return until != 0 && now.UnixNano() >= until && h.probe.CompareAndSwap(false, true)
+	return until != 0 && now.UnixNano() >= until
+}
+
+// Reach records that the endpoint took a connection.
+func (h *Health) Reach() { h.reachable.Store(true) }
+
+// TryProbe reports whether this request may try the endpoint; it is true once
+// until the next success or failure.
+func (h *Health) TryProbe(now time.Time) bool {
+	return h.IsOver(now) && h.reachable.Load() && h.probe.CompareAndSwap(false, true)
 }
 
 // EndProbe lets another request probe, when one ended without a verdict.
--- a/entry/balance/set.go
+++ b/entry/balance/set.go
@@ -163,11 +163,16 @@
 	return !m.endpoint.Health.IsEjected() && !m.endpoint.Health.IsLeaving(c.Now)
 }
 
-// probe takes an ejected endpoint whose time is over.
+// probe takes an ejected endpoint whose time is over and that is known to take
+// connections. Others are sent a connection, which no request waits for.
 func (s *Set) probe(list []member, c Choice) *Slot {
 	for _, m := range list {
 		h := &m.endpoint.Health
-		if !h.IsEjected() || h.IsLeaving(c.Now) || !h.TryProbe(c.Now) {
+		if !h.IsOver(c.Now) || h.IsLeaving(c.Now) {
+			continue
+		}
+		if !h.TryProbe(c.Now) {
+			m.endpoint.reach()
 			continue
 		}
 		m.endpoint.inFlight.Add(1)
--- a/entry/pool/exchange.go
+++ b/entry/pool/exchange.go
@@ -25,6 +25,7 @@
 // Exchange is one attempt at a request.
 type Exchange struct {
 	Request     *http.Request
+	Fresh       bool          // on a new connection
 	RequestID   string        // compared with the answer's, when it has one
 	IDHeader    string        // header that carries the request id
 	Deadline    time.Time     // of the header and of an answer read whole; zero for none
@@ -49,7 +50,11 @@
 
 // Do makes the exchange. The error is an *Error.
 func (p *Pool) Do(ctx context.Context, x *Exchange) (*Answer, error) {
-	c, err := p.get(ctx)
+	connect := p.get
+	if x.Fresh {
+		connect = p.connect
+	}
+	c, err := connect(ctx)
 	if err != nil {
 		return nil, err
 	}
--- a/entry/pool/pool.go
+++ b/entry/pool/pool.go
@@ -16,7 +16,7 @@
 )
 
 const (
-	connectTimeout = time.Second
+	connectTimeout = 300 * time.Millisecond
 	idleTimeout    = 30 * time.Second
 )
 
@@ -74,7 +74,14 @@
 	return c
 }
 
+// connect returns a new connection. When as many as allowed are open, an idle
+// one makes room.
 func (p *Pool) connect(ctx context.Context) (*conn, error) {
+	if p.open.Load() >= p.max.Load() {
+		if c := p.takeIdle(); c != nil {
+			p.discard(c)
+		}
+	}
 	if p.open.Add(1) > p.max.Load() {
 		p.open.Add(-1)
 		return nil, &Error{Fault: FaultFull, Err: errFull}
