Compare with a naive scheduler in virtual time; move a task for interference once

Change: a task that was evicted before stays throttled. Package experiment drives the pure decisions and a first-in-first-out first-fit scheduler through the same jobs and faults.

--- /dev/null
+++ b/experiment/pure.go
@@ -0,0 +1,305 @@
+package experiment
+
+import (
+	"slices"
+	"time"
+
+	"github.com/peridotlock/peridotlock/fleet"
+	"github.com/peridotlock/peridotlock/interference"
+	"github.com/peridotlock/peridotlock/job"
+	"github.com/peridotlock/peridotlock/platform"
+	"github.com/peridotlock/peridotlock/queue"
+	"github.com/peridotlock/peridotlock/rack"
+	"github.com/peridotlock/peridotlock/settings"
+)
+
+// Pure is the scheduler of packages rack and queue, driven as their owners
+// drive them but for the network: one queue, one owner of each rack.
+type Pure struct {
+	Records, Bytes int // written to the log
+	Starts         int
+
+	team    fleet.Path
+	policy  settings.Policy
+	vms     []platform.VM
+	model   *interference.Learned
+	machine *queue.Machine
+	history *queue.History
+	budget  queue.Budget
+	racks   map[fleet.Path]*rack.State
+	paths   []fleet.Path
+	term    platform.Offset
+	backlog []job.Spec // submitted while the log is out
+	down    bool
+	now     time.Time
+	out     []fleet.Path
+}
+
+// NewPure returns an empty scheduler for one team.
+func NewPure(team fleet.Path, p settings.Policy, vms []platform.VM) *Pure {
+	s := &Pure{
+		team: team, policy: p, vms: vms, model: interference.NewLearned(interference.Options{}),
+		machine: queue.NewMachine(team), racks: make(map[fleet.Path]*rack.State), now: epoch,
+	}
+	for _, vm := range vms {
+		if !slices.Contains(s.paths, vm.Rack) {
+			s.paths = append(s.paths, vm.Rack)
+		}
+	}
+	s.takeOver()
+	return s
+}
+
+// takeOver replaces all owners by new ones that know only the log.
+func (s *Pure) takeOver() {
+	s.term++
+	s.history = queue.NewHistory()
+	for _, path := range s.paths {
+		s.racks[path] = rack.New(path, s.term, s.now, s.model)
+		s.racks[path].SetVMs(s.vms)
+	}
+	s.write(queue.Record{Kind: queue.Opened})
+}
+
+func (s *Pure) write(records ...queue.Record) {
+	if len(records) == 0 {
+		return
+	}
+	data, err := queue.Batch{Term: s.term, Records: records}.Encode()
+	if err != nil {
+		panic(err)
+	}
+	s.Records += len(records)
+	s.Bytes += len(data)
+	s.machine.Apply(platform.Record{Time: s.now, Data: data})
+}
+
+// Submit implements Scheduler.
+func (s *Pure) Submit(now time.Time, spec job.Spec) {
+	s.now = now
+	s.backlog = append(s.backlog, spec)
+}
+
+func (s *Pure) conditions() rack.Conditions {
+	v := &settings.View{Policies: map[fleet.Path]settings.Policy{"": s.policy}}
+	for _, d := range domainsOf(s.vms) {
+		v.Domains = append(v.Domains, settings.FailureDomain{Path: d, Out: slices.Contains(s.out, d)})
+	}
+	return rack.Conditions{View: v}
+}
+
+// Step implements Scheduler.
+func (s *Pure) Step(now time.Time, in Input) {
+	s.now, s.out, s.down = now, in.Out, in.LogDown
+	if in.Takeover && !s.down {
+		s.takeOver()
+	}
+	c := s.conditions()
+	for _, path := range s.paths {
+		s.stepRack(s.racks[path], in, c)
+	}
+	if s.down {
+		return
+	}
+	s.submitAll()
+	s.resolve(c)
+	s.round(in, c)
+}
+
+// stepRack renews the workers, carries out the plan and records the events.
+func (s *Pure) stepRack(r *rack.State, in Input, c rack.Conditions) {
+	r.Tick(s.now, c)
+	for _, vm := range r.VMs() {
+		for again := true; again; {
+			again = s.renew(r, in, vm, c)
+		}
+	}
+	for _, a := range r.Plan(s.now, c) {
+		s.act(r, in, a, c)
+	}
+	if s.down {
+		return
+	}
+	events := r.Events()[s.team]
+	var records []queue.Record
+	for _, e := range events {
+		if rec, ok := s.machine.RecordOf(e, s.policy.Tasks); ok {
+			records = append(records, rec)
+			if rec.Kind == queue.Finished {
+				s.history.Observe(s.machine.Job(rec.Job).Spec, e.Used, e.RunTime)
+			}
+		}
+	}
+	s.write(records...)
+	for _, e := range events {
+		r.Acknowledge(e)
+	}
+}
+
+// renew reports whether a second renewal is due at once.
+func (s *Pure) renew(r *rack.State, in Input, vm platform.VM, c rack.Conditions) bool {
+	request, _ := r.Renewal(vm.ID, s.now, c)
+	if in.Cut[vm.ID] {
+		r.Unanswered(vm.ID)
+		return false
+	}
+	report, err := in.Workers[vm.ID].Renew(s.now, request)
+	if err != nil {
+		r.Unanswered(vm.ID)
+		return false
+	}
+	r.Renewed(vm.ID, s.now, s.now, request, report, c)
+	for _, seen := range r.Observations(vm.ID, s.now, report.Usage) {
+		s.model.Observe(seen.Victim, seen.Neighbours, seen.Slowdown)
+	}
+	running := slices.ContainsFunc(report.Attempts, func(a platform.AttemptStatus) bool { return a.State == platform.AttemptRunning })
+	return running && len(request.Attempts) == 0
+}
+
+func (s *Pure) act(r *rack.State, in Input, a rack.Action, c rack.Conditions) {
+	if in.Cut[a.VM.ID] {
+		return
+	}
+	ref := platform.AttemptRef{Task: a.Request.Task, Attempt: a.Request.Token.Attempt}
+	status, err := in.Workers[a.VM.ID].Control(s.now, string(a.Kind), a.Request)
+	if err == nil {
+		r.Answered(a.VM.ID, status, s.now, c)
+	}
+	switch {
+	case a.Kind == rack.DoCheckpoint:
+		r.Checkpointed(a.VM.ID, ref, err == nil)
+	case a.Kind == rack.DoThrottle && err == nil:
+		r.Throttled(a.VM.ID, ref, a.Request.Share)
+	}
+}
+
+// submitAll records the jobs that arrived, and those that no worker could hold.
+func (s *Pure) submitAll() {
+	for _, spec := range s.backlog {
+		s.write(queue.Record{Kind: queue.Submitted, Spec: &spec})
+		if short, unfit := queue.Unfit(s.vms, spec); unfit {
+			number := s.machine.ByKey(spec.IdempotencyKey).Number
+			s.write(queue.Record{Kind: queue.Unschedulable, Job: number, Reason: short.String()})
+		}
+	}
+	s.backlog = nil
+}
+
+// resolve asks the rack owners about attempts that were placed under older
+// terms.
+func (s *Pure) resolve(c rack.Conditions) {
+	var records []queue.Record
+	for _, j := range s.machine.Open() {
+		for i := range j.Tasks {
+			t := &j.Tasks[i]
+			if !t.IsActive() || t.RackTerm == s.term {
+				continue
+			}
+			ref := queue.TaskRef{Job: j.Number, Index: i}
+			reply := s.racks[t.Rack].Resolve(s.now, c, rack.ResolveArgs{Queue: s.team, QueueTerm: s.term, Placements: []rack.Placement{
+				{Task: queue.TaskID(s.team, ref), Attempt: t.Attempt, VM: t.VM, RackTerm: t.RackTerm},
+			}})
+			if reply.Results[0].Fate == rack.Absent {
+				records = append(records, queue.Record{Kind: queue.Evicted, Job: j.Number, Index: i, Attempt: t.Attempt})
+			}
+		}
+	}
+	s.write(records...)
+}
+
+// round places what may start now.
+func (s *Pure) round(in Input, c rack.Conditions) {
+	if s.machine.Waiting() == 0 {
+		return
+	}
+	var summaries []rack.Summary
+	for _, path := range s.paths {
+		summaries = append(summaries, s.racks[path].Summary(s.now, c))
+	}
+	chooser := queue.NewChooser(summaries)
+	order := queue.Order{Now: s.now, Team: settings.Team{Path: s.team}, Policy: s.policy.Tasks, History: s.history}
+	candidates, _ := order.Next(s.machine)
+	var placed []queue.Record
+	for _, k := range candidates {
+		path, _, ok := chooser.Choose(k)
+		if !ok || (k.Task.Failures > 0 && !s.budget.Take(s.now, s.policy.Tasks.RetryBudget)) {
+			continue
+		}
+		if rec, ok := s.reserve(path, k, c); ok {
+			placed = append(placed, rec)
+		}
+	}
+	s.write(placed...)
+	s.startAll(in, placed, c)
+}
+
+func (s *Pure) reserve(path fleet.Path, k queue.Candidate, c rack.Conditions) (queue.Record, bool) {
+	reply := s.racks[path].Reserve(s.now, c, rack.ReserveArgs{Queue: s.team, QueueTerm: s.term, Requests: []rack.Request{{
+		Task: queue.TaskID(s.team, k.Ref), Attempt: k.Task.Attempt + 1, Kind: k.Job.Spec.Kind, Class: k.Job.Spec.Class,
+		Size: k.Size, FailureDomains: k.Job.Spec.FailureDomains, Avoid: k.Task.FailedOn, FailedElsewhere: len(k.Job.FailedOn) > 1, Evicted: k.Task.Evictions > 0,
+	}}})
+	return queue.Record{
+		Kind: queue.Placed, Job: k.Ref.Job, Index: k.Ref.Index, Attempt: k.Task.Attempt + 1,
+		VM: reply.Results[0].VM, Rack: path, RackTerm: s.term,
+	}, reply.Results[0].VM != ""
+}
+
+func (s *Pure) startAll(in Input, placed []queue.Record, c rack.Conditions) {
+	var records []queue.Record
+	for _, p := range placed {
+		rec := queue.Record{Kind: queue.Released, Job: p.Job, Index: p.Index, Attempt: p.Attempt}
+		if s.start(in, p, c) {
+			rec.Kind = queue.Started
+			s.Starts++
+		}
+		records = append(records, rec)
+	}
+	s.write(records...)
+}
+
+func (s *Pure) start(in Input, p queue.Record, c rack.Conditions) bool {
+	ref := queue.TaskRef{Job: p.Job, Index: p.Index}
+	st := rack.Start{
+		Task: queue.TaskID(s.team, ref), Attempt: p.Attempt,
+		Checkpoint: s.machine.Task(ref).Checkpoint, RunTime: s.machine.Job(p.Job).Spec.RunTime,
+	}
+	r := s.racks[p.Rack]
+	vm, request, refused := r.Start(s.now, c, rack.StartArgs{Queue: s.team, QueueTerm: s.term}, st)
+	if refused != "" {
+		return false
+	}
+	attempt := platform.AttemptRef{Task: st.Task, Attempt: st.Attempt}
+	if in.Cut[vm.ID] {
+		r.StartRefused(vm.ID, attempt)
+		return false
+	}
+	status, err := in.Workers[vm.ID].Start(s.now, request)
+	if err != nil {
+		r.StartRefused(vm.ID, attempt)
+		return false
+	}
+	r.Answered(vm.ID, status, s.now, c)
+	return true
+}
+
+// Ended implements Scheduler.
+func (s *Pure) Ended() []End {
+	var out []End
+	for _, j := range s.machine.Jobs() {
+		if j.Ended != 0 {
+			out = append(out, End{Key: j.Spec.IdempotencyKey, State: s.machine.Status(j, false).State, At: time.UnixMilli(j.Ended)})
+		}
+	}
+	return out
+}
+
+// Evictions implements Scheduler.
+func (s *Pure) Evictions() int {
+	n := 0
+	for _, j := range s.machine.Jobs() {
+		for i := range j.Tasks {
+			n += j.Tasks[i].Evictions
+		}
+	}
+	return n
+}
--- a/experiment/worker.go
+++ b/experiment/worker.go
@@ -39,16 +39,18 @@
 	newest   map[string]int // newest attempt of each task
 	at       time.Time      // progress is accounted up to here
 	boot     time.Time
+	lost     time.Duration // progress that no checkpoint holds, as time alone on a VM
 }
 
 // run is one attempt at the worker.
 type run struct {
-	status platform.AttemptStatus
-	lease  time.Time
-	truth  Truth
-	share  float64
-	done   float64 // progress, 0..1
-	saved  float64 // progress in the newest checkpoint
+	status  platform.AttemptStatus
+	lease   time.Time
+	started time.Time
+	truth   Truth
+	share   float64
+	done    float64 // progress, 0..1
+	saved   float64 // progress in the newest checkpoint
 }
 
 // NewWorker returns an idle worker.
@@ -73,16 +75,17 @@
 		}
 	}
 	for ref, p := range pace {
-		w.runs[ref].advance(now, elapsed, p)
+		w.advance(w.runs[ref], now, elapsed, p)
 	}
 }
 
-func (r *run) advance(now time.Time, elapsed time.Duration, pace float64) {
+func (w *Worker) advance(r *run, now time.Time, elapsed time.Duration, pace float64) {
 	r.done += pace * elapsed.Seconds() / max(r.truth.RunTime.Seconds(), 0.001)
 	r.status.Progress = min(r.done, 1)
 	switch {
 	case now.After(r.lease):
 		r.status.State = platform.AttemptLapsed
+		w.lose(r)
 	case r.truth.Fails && r.done > 0.1:
 		r.status.State = platform.AttemptFailed
 		r.status.Error = "task failed"
@@ -91,6 +94,11 @@
 	}
 }
 
+// lose accounts for the progress since the newest checkpoint.
+func (w *Worker) lose(r *run) {
+	w.lost += time.Duration((r.done - r.saved) * float64(r.truth.RunTime))
+}
+
 // slowdown returns the ratio of the attempt's pace alone to that now.
 func (w *Worker) slowdown(victim platform.AttemptRef) float64 {
 	out := 1.0
@@ -131,7 +139,7 @@
 			Task: r.Task, Token: r.Token, State: platform.AttemptRunning, Class: r.Class,
 			Kind: r.Kind, Size: r.Size, Checkpoint: r.Checkpoint, Progress: saved,
 		},
-		lease: now.Add(r.Lease), truth: truth, share: 1, done: saved, saved: saved,
+		lease: now.Add(r.Lease), started: now, truth: truth, share: 1, done: saved, saved: saved,
 	}
 	return w.runs[ref].status, nil
 }
@@ -181,6 +189,7 @@
 		e.share = r.Share
 	case "stop":
 		e.status.State = platform.AttemptStopped
+		w.lose(e)
 	}
 	return e.status, nil
 }
--- a/queue/owner/round.go
+++ b/queue/owner/round.go
@@ -151,6 +151,7 @@
 		FailureDomains:  slices.Clone(c.Job.Spec.FailureDomains),
 		Avoid:           slices.Clone(c.Task.FailedOn),
 		FailedElsewhere: len(c.Job.FailedOn) > 1,
+		Evicted:         c.Task.Evictions > 0,
 	}
 	return m
 }
--- a/rack/admit.go
+++ b/rack/admit.go
@@ -153,6 +153,7 @@
 		leaseEnd:  now.Add(withDrift(2*startWindow + request.Lease)),
 		share:     1,
 		blameless: r.request.FailedElsewhere,
+		evicted:   r.request.Evicted,
 	}
 	w.attempts[ref].checkpoint = st.Checkpoint
 	return w.vm, request, ""
--- a/rack/balance.go
+++ b/rack/balance.go
@@ -44,9 +44,11 @@
 	}
 }
 
+// moveNeighbour evicts the worst neighbour unless it was evicted before: a task
+// that finds no quiet place would otherwise be moved for ever.
 func (s *State) moveNeighbour(w *worker, victim *attempt) {
 	n := s.worstNeighbour(w, victim)
-	if n == nil || s.moveTokens < 1 {
+	if n == nil || n.evicted || s.moveTokens < 1 {
 		return
 	}
 	s.moveTokens--
--- a/rack/lease.go
+++ b/rack/lease.go
@@ -103,7 +103,8 @@
 	s.end(w, ref, a, outcomeOf(status.State), status.Error, now, c)
 }
 
-// adopted returns an attempt that an earlier owner started.
+// adopted returns an attempt that an earlier owner started. Whether it was
+// evicted before is not known, so it counts as evicted.
 func adopted(status platform.AttemptStatus, now time.Time, lease time.Duration) *attempt {
 	return &attempt{
 		phase: running,
@@ -114,6 +115,7 @@
 		leaseEnd:   now.Add(lease),
 		checkpoint: status.Checkpoint,
 		share:      1,
+		evicted:    true,
 	}
 }
 
--- a/rack/protocol.go
+++ b/rack/protocol.go
@@ -47,6 +47,7 @@
 	FailureDomains  []fleet.Path    `cbor:"6,keyasint,omitempty"`
 	Avoid           []string        `cbor:"7,keyasint,omitempty"`
 	FailedElsewhere bool            `cbor:"8,keyasint,omitempty"` // its job failed on another VM before
+	Evicted         bool            `cbor:"9,keyasint,omitempty"` // it was evicted before
 }
 
 func (r Request) placeRequest() place.Request {
--- a/rack/worker.go
+++ b/rack/worker.go
@@ -70,6 +70,7 @@
 	share       float64 // applied by the worker after throttling
 	target      float64 // wanted share; 0 for the whole
 	blameless   bool    // its job failed on other workers, so this one is not blamed
+	evicted     bool    // before this attempt; it is not moved for interference again
 	checkpoints int     // tries of a checkpoint before the stop
 }
 
