Try a task again where it failed when no other worker could hold it; differential test

Cause: TestDifferential found a broken job that fits two VMs only: after a failure on each it avoided both and waited for ever. Change: a task avoids the VMs of its failures only while another worker could hold it, so that its attempts run out and it fails.

--- a/queue/choose.go
+++ b/queue/choose.go
@@ -36,7 +36,7 @@
 // Choose returns the rack whose emptiest fitting VM has most left, or why there
 // is none. It does not look again for a job that found no room.
 func (c *Chooser) Choose(t Candidate) (fleet.Path, Reason, bool) {
-	if c.noRoom[t.Ref.Job] && len(t.Task.FailedOn) == 0 {
+	if c.noRoom[t.Ref.Job] && len(t.Avoid) == 0 {
 		return "", Reason{Code: WaitsRoom}, false
 	}
 	var best *rack.VMSummary
@@ -63,7 +63,7 @@
 
 func (c *Chooser) fits(domain fleet.Path, v *rack.VMSummary, t Candidate) bool {
 	return t.Size.Fits(v.Free) && allows(t.Job.Spec.FailureDomains, domain) &&
-		!slices.Contains(t.Task.FailedOn, v.ID)
+		!slices.Contains(t.Avoid, v.ID)
 }
 
 func roomier(a, b fleet.Resources) bool {
--- a/queue/fit.go
+++ b/queue/fit.go
@@ -53,6 +53,22 @@
 	return best, workers > 0
 }
 
+// Avoid returns the VMs on which a task failed, or nil when no other worker
+// could hold it: then it may only be tried there again.
+func Avoid(vms []platform.VM, s job.Spec, failedOn []string) []string {
+	if len(failedOn) == 0 {
+		return nil
+	}
+	other := func(vm platform.VM) bool {
+		return vm.Kind == platform.KindWorker && s.Size.Fits(vm.Size) &&
+			allows(s.FailureDomains, vm.FailureDomain) && !slices.Contains(failedOn, vm.ID)
+	}
+	if slices.ContainsFunc(vms, other) {
+		return failedOn
+	}
+	return nil
+}
+
 func allows(domains []fleet.Path, domain fleet.Path) bool {
 	holds := func(p fleet.Path) bool { return p.Contains(domain) }
 	return len(domains) == 0 || slices.ContainsFunc(domains, holds)
--- a/queue/order.go
+++ b/queue/order.go
@@ -8,6 +8,7 @@
 
 	"github.com/peridotlock/peridotlock/fleet"
 	"github.com/peridotlock/peridotlock/job"
+	"github.com/peridotlock/peridotlock/platform"
 	"github.com/peridotlock/peridotlock/settings"
 )
 
@@ -16,11 +17,12 @@
 
 // Candidate is a waiting task in its order.
 type Candidate struct {
-	Ref  TaskRef
-	Job  *Job
-	Task *Task
-	Size fleet.Resources // corrected by history
-	key  orderKey
+	Ref   TaskRef
+	Job   *Job
+	Task  *Task
+	Size  fleet.Resources // corrected by history
+	Avoid []string        // VMs on which the task failed
+	key   orderKey
 }
 
 // orderKey decides the order: urgent jobs, then those whose deadline can still
@@ -40,6 +42,7 @@
 	Team    settings.Team
 	Policy  settings.TaskPolicy
 	History *History
+	VMs     []platform.VM
 }
 
 // Next returns the waiting tasks that may start now in their order, and for
@@ -71,7 +74,7 @@
 			continue
 		}
 		key.resume = t.State == job.Evicted
-		out = append(out, Candidate{Ref: TaskRef{Job: j.Number, Index: i}, Job: j, Task: t, Size: size, key: key})
+		out = append(out, Candidate{Ref: TaskRef{Job: j.Number, Index: i}, Job: j, Task: t, Size: size, Avoid: Avoid(o.VMs, j.Spec, t.FailedOn), key: key})
 	}
 	return out
 }
--- a/queue/owner/round.go
+++ b/queue/owner/round.go
@@ -114,7 +114,7 @@
 // chooseWith is called while the machine does not change.
 func (o *Owner) chooseWith(chooser *queue.Chooser, now time.Time, team settings.Team, policy settings.TaskPolicy) []*move {
 	var out []*move
-	order := queue.Order{Now: now, Team: team, Policy: policy, History: o.history}
+	order := queue.Order{Now: now, Team: team, Policy: policy, History: o.history, VMs: o.opts.VMs()}
 	candidates, waits := order.Next(o.machine)
 	for i, c := range candidates {
 		if len(out) >= roundSize {
@@ -149,7 +149,7 @@
 	m.request = rack.Request{
 		Task: m.task, Attempt: m.attempt, Kind: c.Job.Spec.Kind, Class: c.Job.Spec.Class, Size: c.Size,
 		FailureDomains:  slices.Clone(c.Job.Spec.FailureDomains),
-		Avoid:           slices.Clone(c.Task.FailedOn),
+		Avoid:           slices.Clone(c.Avoid),
 		FailedElsewhere: len(c.Job.FailedOn) > 1,
 		Evicted:         c.Task.Evictions > 0,
 	}
