--- a/queue/client.go
+++ b/queue/client.go
@@ -25,6 +25,10 @@
 // ErrUnknownJob says that the queue has no such job; it wraps ErrNotDone.
 var ErrUnknownJob = fmt.Errorf("%w: unknown job", ErrNotDone)
 
+// ErrNotOwned says that the queue has no owner that can answer yet, as for some
+// seconds after a node was lost; it wraps ErrNotDone.
+var ErrNotOwned = fmt.Errorf("%w: the queue has no owner that is ready", ErrNotDone)
+
 const (
 	ownerWait  = 10 * time.Second // for an owner and its answer
 	ownerRetry = 200 * time.Millisecond
@@ -101,7 +105,7 @@
 	for {
 		err := c.callOnce(ctx, queue, method, args, reply)
 		code := reply.code()
-		again := errors.Is(err, ErrNotDone) || (err == nil && (code == NotOwner || code == NotReady))
+		again := errors.Is(err, ErrNotOwned) || (err == nil && (code == NotOwner || code == NotReady))
 		if !again {
 			return err
 		}
@@ -116,14 +120,16 @@
 func (c *Client) callOnce(ctx context.Context, queue fleet.Path, method string, args, reply any) error {
 	_, addr, ok := c.directory.Owner(ownership.Unit{Kind: ownership.Queue, Path: queue})
 	if !ok {
-		return fmt.Errorf("%w: queue %s has no owner", ErrNotDone, queue)
+		return fmt.Errorf("%w: %s", ErrNotOwned, queue)
 	}
 	err := c.pool.Client(addr).Call(ctx, ServiceName+"."+method, args, reply)
 	var served rpc.ServerError
 	switch {
 	case err == nil:
 		return nil
-	case errors.Is(err, wire.ErrNotSent), errors.As(err, &served):
+	case errors.Is(err, wire.ErrNotSent) && !errors.Is(err, wire.ErrBusy):
+		return fmt.Errorf("%w: %w", ErrNotOwned, err)
+	case errors.Is(err, wire.ErrBusy), errors.As(err, &served):
 		return fmt.Errorf("%w: %w", ErrNotDone, err)
 	}
 	return fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
@@ -133,6 +139,8 @@
 	switch code {
 	case OK:
 		return nil
+	case NotOwner, NotReady:
+		return fmt.Errorf("%w: %s", ErrNotOwned, code)
 	case InDoubt:
 		return fmt.Errorf("%w: %s", ErrOutcomeUnknown, detail)
 	case Invalid:
--- a/scenario/scenario.go
+++ b/scenario/scenario.go
@@ -66,6 +66,7 @@
 		"relay":     startRelay,
 		"disturb":   disturb,
 		"remember":  remember,
+		"measure":   measure,
 	}
 }
 
