Fail jobs that fail everywhere; let a claim be as old as a lease for starts

Cause: (1) TestDifferential at 1,500 draws found jobs that fail everywhere and never end: their failures put the workers in quarantine, and failures there did not count against the job. (2) The ownership stream is polled every 2 s, so a claim known for 2 s at most refused starts. Change: a failure counts against a job that failed on another VM before, and at most MaxAttempts failures are put down to workers; the limit of the claim's age is the lease, which the bound for unreached workers covers. Run: TestDifferential with 700 draws passed (43 s).

--- a/queue/apply.go
+++ b/queue/apply.go
@@ -142,10 +142,12 @@
 }
 
 func (m *Machine) fail(j *Job, t *Task, r *Record, now time.Time) {
-	if !r.WorkerFault {
+	if r.WorkerFault {
+		t.Faults++
+	} else {
 		t.Failures++
-		j.FailedOn = insert(j.FailedOn, t.VM)
 	}
+	j.FailedOn = insert(j.FailedOn, t.VM)
 	t.FailedOn = insert(t.FailedOn, t.VM)
 	if r.Final {
 		m.finish(j, t, job.Failed, r.Reason, now)
--- a/queue/machine.go
+++ b/queue/machine.go
@@ -28,6 +28,7 @@
 	Checkpoint string          `cbor:"6,keyasint,omitempty"`
 	Evictions  int             `cbor:"7,keyasint,omitempty"`
 	Failures   int             `cbor:"8,keyasint,omitempty"`
+	Faults     int             `cbor:"13,keyasint,omitempty"` // failures that were blamed on the worker
 	FailedOn   []string        `cbor:"9,keyasint,omitempty"`
 	Reason     string          `cbor:"10,keyasint,omitempty"`
 	Cancelling bool            `cbor:"11,keyasint,omitempty"`
@@ -52,6 +53,9 @@
 	open      int      // tasks that are not final
 }
 
+// HasFailed reports whether tasks of the job failed and none succeeded.
+func (j *Job) HasFailed() bool { return len(j.FailedOn) > 0 && j.Successes == 0 }
+
 // Machine interprets the stream of one team's queue. It implements
 // stream.Machine.
 type Machine struct {
--- a/queue/owner/round.go
+++ b/queue/owner/round.go
@@ -150,7 +150,7 @@
 		Task: m.task, Attempt: m.attempt, Kind: c.Job.Spec.Kind, Class: c.Job.Spec.Class, Size: c.Size,
 		FailureDomains:  slices.Clone(c.Job.Spec.FailureDomains),
 		Avoid:           slices.Clone(c.Avoid),
-		FailedElsewhere: len(c.Job.FailedOn) > 1,
+		FailedElsewhere: c.Job.HasFailed(),
 		Evicted:         c.Task.Evictions > 0,
 	}
 	return m
--- a/queue/retry.go
+++ b/queue/retry.go
@@ -1,6 +1,7 @@
 package queue
 
 import (
+	"slices"
 	"time"
 
 	"github.com/peridotlock/peridotlock/job"
@@ -30,8 +31,9 @@
 		r.Kind = Finished
 	case rack.Failed:
 		r.Kind = Failed
-		r.WorkerFault = e.BadWorker
-		r.Final = !e.BadWorker && m.isHopeless(m.jobs[ref.Job], t, p)
+		j := m.jobs[ref.Job]
+		r.WorkerFault = e.BadWorker && !failedBeside(j, t.VM) && t.Faults < p.MaxAttempts
+		r.Final = !r.WorkerFault && m.isHopeless(j, t, p)
 	case rack.NeverStarted:
 		r.Kind = Released
 	default:
@@ -40,6 +42,12 @@
 	return r, true
 }
 
+// failedBeside reports whether a task of the job failed on another VM than the
+// given one: then the VM is not to blame.
+func failedBeside(j *Job, vm string) bool {
+	return slices.ContainsFunc(j.FailedOn, func(other string) bool { return other != vm })
+}
+
 // isHopeless reports whether the failure that is to be recorded is the last
 // that is allowed: the task used up its attempts, or its job failed on several
 // VMs and nowhere succeeded.
--- a/rack/admit.go
+++ b/rack/admit.go
@@ -38,7 +38,7 @@
 		return NoSettings
 	case c.ViewAge > c.policy(s.path).Tasks.ViewAge:
 		return StaleSettings
-	case c.ClaimAge > c.policy(s.path).Tasks.ViewAge:
+	case c.ClaimAge > c.policy(s.path).Tasks.Lease:
 		return StaleClaim
 	}
 	return ""
