--- /dev/null
+++ b/experiment/scale_test.go
@@ -0,0 +1,74 @@
+package experiment
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/peridotlock/peridotlock/fleet"
+	"github.com/peridotlock/peridotlock/job"
+	"github.com/peridotlock/peridotlock/settings"
+)
+
+const (
+	scaleWorkers = 620
+	scaleJobs    = 810
+	scaleTasks   = 20 // of one job
+)
+
+func heap() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
+// BenchmarkPlacement starts 16,200 tasks of one queue on 620 workers.
+func BenchmarkPlacement(b *testing.B) {
+	d := Zavod()
+	d.Workers = scaleWorkers
+	world := &World{Truth: func(string) Truth { return Truth{RunTime: time.Hour} }}
+	for b.Loop() {
+		vms := d.VMs()
+		workers := make(map[string]*Worker)
+		for _, vm := range vms {
+			workers[vm.ID] = NewWorker(vm, world, epoch)
+		}
+		empty := heap()
+		s := NewPure(d.Team, settings.DefaultPolicy(), vms)
+		now := epoch
+		s.Step(now, Input{Workers: workers})
+		idle := heap()
+		for i := range scaleJobs {
+			s.Submit(now, job.Spec{
+				Name: "run", Team: d.Team, Kind: "certificate", Class: fleet.Batch, Count: scaleTasks, RunTime: time.Hour,
+				Size: fleet.Resources{MilliCPU: 2000, MemoryMB: 4000}, IdempotencyKey: fmt.Sprint("k", i),
+			})
+		}
+		begin := time.Now()
+		for s.Starts < scaleJobs*scaleTasks {
+			now = now.Add(time.Second)
+			s.Step(now, Input{Workers: workers})
+		}
+		took := time.Since(begin)
+		held := heapWithout(workers)
+		b.ReportMetric(float64(s.Starts)/took.Seconds(), "starts/s")
+		b.ReportMetric(float64(idle-empty)/scaleWorkers, "B/worker")
+		b.ReportMetric(float64(held-idle)/(scaleJobs*scaleTasks), "B/task")
+		b.ReportMetric(float64(s.Bytes)/float64(s.Starts), "log-B/task")
+		b.ReportMetric(float64(s.Records)/float64(s.Starts), "log-records/task")
+		runtime.KeepAlive(s)
+	}
+}
+
+// heapWithout returns the heap less what the fakes of the workers hold.
+func heapWithout(workers map[string]*Worker) int64 {
+	with := heap()
+	for id, w := range workers {
+		w.runs, w.newest = nil, nil
+		workers[id] = w
+	}
+	without := heap()
+	return min(with, without)
+}
--- a/rack/owner/calls.go
+++ b/rack/owner/calls.go
@@ -19,12 +19,18 @@
 	eventBatch   = 500
 )
 
-// renew renews the leases of one worker and applies its report. When the
-// request carried no leases, because the worker was new or silent before, a
-// second one follows at once.
+// renewTries bounds the calls of one renewal: one that fails, one that asks for
+// a report only, one that renews again.
+const renewTries = 3
+
+// renew renews the leases of one worker and applies its report. It calls again
+// at once when a call failed, and when the request carried no leases because
+// the worker was new or silent before.
 func (o *Owner) renew(ctx context.Context, vm platform.VM) {
-	if o.renewOnce(ctx, vm) {
-		o.renewOnce(ctx, vm)
+	for range renewTries {
+		if ctx.Err() != nil || !o.renewOnce(ctx, vm) {
+			return
+		}
 	}
 }
 
@@ -46,7 +52,7 @@
 	if err != nil {
 		o.opts.Log.V(1).Info("renewal failed", "rack", o.path, "vm", vm.ID, "error", err.Error())
 		o.with(func(s *rack.State, _ time.Time, _ rack.Conditions) { s.Unanswered(vm.ID) })
-		return false
+		return true
 	}
 	o.with(func(s *rack.State, now time.Time, c rack.Conditions) {
 		s.Renewed(vm.ID, sent, now, request, report, c)
--- a/rack/owner/owner.go
+++ b/rack/owner/owner.go
@@ -21,7 +21,7 @@
 
 const (
 	tickEvery  = 250 * time.Millisecond // between looks at what is due
-	renewShare = 3                      // renewals in the time of one lease
+	renewShare = 2                      // renewals in the time of one lease
 )
 
 // Options are what the owners of all racks of a process share.
