--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -32,7 +32,7 @@
 )
 
 const (
-	silenceRatio  = 3 // of the learned tail latency
+	silenceRatio  = 2 // of the learned tail latency
 	minSilence    = 20 * time.Millisecond
 	firstSilence  = time.Second          // before anything is learned
 	returnMargin  = 2 * time.Millisecond // kept back from an endpoint's deadline
@@ -49,6 +49,7 @@
 	defer span.End()
 	id := newAttemptID()
 	x := c.exchange(ctx, id)
+	x.Fresh = kind != attemptFirst
 	x.OnSilence = func() { c.suspect(slot) }
 	start := time.Now()
 	a, err := slot.Endpoint.Pool.Do(ctx, x)
@@ -85,7 +86,7 @@
 // silence is the time to the first byte of an answer after which the
 // connection is suspected.
 func (c *call) silence() time.Duration {
-	tail := c.service.set.Latency.Tail()
+	tail := c.service.latency(c.class).Tail()
 	if tail == 0 {
 		return firstSilence
 	}
@@ -176,6 +177,7 @@
 		return
 	}
 	c.service.set.Learn(e, took, now)
+	c.service.latency(c.class).Observe(took)
 	if c.service.queue.Waiting() == 0 && c.service.set.EjectSlow(e, now) {
 		c.ejected(e, "slow")
 	}
