scheduler: give up units at shutdown

Cause: a scheduler that was told to end kept its units until its peers found it dead, some seconds later.

--- a/ownership/claimer.go
+++ b/ownership/claimer.go
@@ -84,6 +84,13 @@
 	return out
 }
 
+// IsIdle reports whether this process holds no unit and writes no record.
+func (c *Claimer) IsIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.own) == 0 && len(c.pending) == 0
+}
+
 // Run plans at each change and at intervals until ctx ends.
 func (c *Claimer) Run(ctx context.Context) error {
 	var running sync.WaitGroup
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -141,15 +141,22 @@
 	Operators net.Listener // HTTP
 }
 
-// Run serves and works until ctx ends; then it stops taking units, lets peers
-// know, and returns when all its work has ended.
+// Run serves and works until ctx ends; then it lets peers know, gives up its
+// units, and returns when all its work has ended.
 func (s *Scheduler) Run(ctx context.Context, l Listeners) error {
 	server, err := s.services()
 	if err != nil {
 		return err
 	}
 	defer s.pool.Close()
-	group := newGroup(ctx)
+	working, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group := newGroup(working)
+	group.start("shutdown", func(working context.Context) error {
+		defer stop()
+		s.leave(ctx, working)
+		return nil
+	})
 	group.start("writer", s.writer.Run)
 	group.start("settings", s.follow.Run)
 	group.start("ownership", s.ownership.Run)
