--- a/rack/admit.go
+++ b/rack/admit.go
@@ -38,7 +38,7 @@
 		return NoSettings
 	case c.ViewAge > c.policy(s.path).Tasks.ViewAge:
 		return StaleSettings
-	case c.ClaimAge > c.policy(s.path).Tasks.ViewAge:
+	case c.ClaimAge > c.policy(s.path).Tasks.Lease:
 		return StaleClaim
 	}
 	return ""
@@ -153,6 +153,7 @@
 		leaseEnd:  now.Add(withDrift(2*startWindow + request.Lease)),
 		share:     1,
 		blameless: r.request.FailedElsewhere,
+		evicted:   r.request.Evicted,
 	}
 	w.attempts[ref].checkpoint = st.Checkpoint
 	return w.vm, request, ""
