stream: metrics of the breaker, the queue, the budget and doubts

Cause: operators could not see that the log is down, how long records wait for the budget, or how often answers are lost. Change: peridotlock_log_breaker_open, _queued_entries, _budget_wait_seconds_total and _in_doubt_total{outcome}. Conclusion: go test -race -count=2 ./stream passes.

--- a/stream/dispatch.go
+++ b/stream/dispatch.go
@@ -58,19 +58,34 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if wait := w.breaker.wait(now); wait > 0 {
+		w.countStarved(now)
 		return nil, nil, wait
 	}
 	l, wait := w.choose(now)
 	if l == nil {
+		w.countStarved(now)
 		return nil, nil, wait
 	}
 	if wait := w.budget(now, l.head().entry.Priority); wait > 0 {
+		if w.starved.IsZero() {
+			w.starved = now
+		}
 		return nil, nil, wait
 	}
+	w.countStarved(now)
 	l.busy = true
 	return l, l.take(), 0
 }
 
+// countStarved ends a wait for the budget; mu is held.
+func (w *LogWriter) countStarved(now time.Time) {
+	if w.starved.IsZero() {
+		return
+	}
+	w.metrics.budgetWait.Add(now.Sub(w.starved).Seconds())
+	w.starved = time.Time{}
+}
+
 // choose returns the idle lane with the most urgent entry, the oldest first.
 func (w *LogWriter) choose(now time.Time) (*lane, time.Duration) {
 	var best *lane
@@ -167,7 +182,7 @@
 func (w *LogWriter) succeed(l *lane, batch []*pending, first platform.Offset) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.breaker.succeed()
+	w.succeedBreaker()
 	l.floor = max(l.floor, first+platform.Offset(len(batch)))
 	l.fails = 0
 	l.busy = false
@@ -189,10 +204,17 @@
 	w.failed(now, cause)
 }
 
+// succeedBreaker notes that the log answered; mu is held.
+func (w *LogWriter) succeedBreaker() {
+	w.breaker.succeed()
+	w.metrics.breakerOpen.Set(0)
+}
+
 // failed counts a failure of the log; mu is held.
 func (w *LogWriter) failed(now time.Time, cause error) {
 	if w.breaker.fail(now, rand.Float64()) {
 		wait := w.breaker.wait(now)
+		w.metrics.breakerOpen.Set(1)
 		w.o.Logger.Info("log is down", "retry_after", wait, "error", cause)
 		w.refuseQueued("log is down: "+cause.Error(), wait)
 	}
--- a/stream/resolve.go
+++ b/stream/resolve.go
@@ -138,8 +138,9 @@
 	defer w.mu.Unlock()
 	l.floor = d.from
 	l.busy = false
+	w.metrics.countResolved(d)
 	if len(d.open) == 0 {
-		w.breaker.succeed()
+		w.succeedBreaker()
 	}
 	for p, offset := range d.found {
 		w.finish(l, p, offset, nil)
--- a/stream/writer.go
+++ b/stream/writer.go
@@ -73,6 +73,7 @@
 	bytes   int
 	breaker breaker
 	stopped bool
+	starved time.Time // start of the present wait for the budget, or zero
 }
 
 // NewWriter returns a writer; it writes while Run runs.
@@ -151,6 +152,7 @@
 	l.push(p)
 	w.queued++
 	w.bytes += len(e.Data)
+	w.metrics.queued.Inc()
 	return l, p, nil
 }
 
@@ -200,6 +202,7 @@
 	delete(l.open, p.entry.ID)
 	w.queued--
 	w.bytes -= len(p.entry.Data)
+	w.metrics.queued.Dec()
 	if err == nil {
 		l.recent.put(p)
 	}
--- a/stream/writer_test.go
+++ b/stream/writer_test.go
@@ -57,9 +57,11 @@
 	inBubble(t, "An append whose answer was lost is found by reading and is not sent again", WriterOptions{},
 		func(ctx context.Context, log *faultLog, w *LogWriter) {
 			log.plan = []fault{none, lostAnswer}
+			before := w.metrics.found.Get()
 			offset, err := w.Append(ctx, name, entry("a"))
 			So(err, ShouldBeNil)
 			So(offset, ShouldEqual, 0)
+			So(w.metrics.found.Get()-before, ShouldEqual, 1)
 			So(log.all(name), ShouldHaveLength, 1)
 		})
 }
@@ -92,6 +94,7 @@
 		func(ctx context.Context, log *faultLog, w *LogWriter) {
 			const streams, perStream = 20, 50
 			start := time.Now()
+			waited := w.metrics.budgetWait.Get()
 			done := make(chan time.Duration, 2*streams*perStream)
 			urgent := make(chan time.Duration, 1)
 			for i := range streams * perStream {
@@ -115,6 +118,7 @@
 			So(log.appends, ShouldBeLessThanOrEqualTo, 2*streams+1)
 			So(last, ShouldBeGreaterThan, time.Second)
 			So(float64(log.appends), ShouldBeLessThanOrEqualTo, 6+10*last.Seconds())
+			So(w.metrics.budgetWait.Get()-waited, ShouldBeBetween, 1, last.Seconds())
 		})
 }
 
@@ -130,11 +134,13 @@
 			var refused *RefusedError
 			So(errors.As(err, &refused), ShouldBeTrue)
 			So(refused.RetryAfter, ShouldBeGreaterThan, 0)
+			So(w.metrics.breakerOpen.Get(), ShouldEqual, 1)
 			So(time.Since(start), ShouldEqual, 0)
 
 			time.Sleep(time.Minute + breakerMax)
 			_, err = w.Append(ctx, name, entry("a"))
 			So(err, ShouldBeNil)
+			So(w.metrics.breakerOpen.Get(), ShouldEqual, 0)
 			So(log.all(name), ShouldHaveLength, 1)
 		})
 }
