--- a/entry/entry.go
+++ b/entry/entry.go
@@ -65,7 +65,7 @@
 
 // New returns an entry without a snapshot, which refuses all requests.
 func New(o Options) *Entry {
-	return &Entry{
+	e := &Entry{
 		options:  o,
 		metrics:  newMetrics(),
 		budgets:  retry.NewBudgets(),
@@ -73,6 +73,8 @@
 		registry: balance.NewRegistry(o.Name, o.FailureDomain),
 		services: make(map[fleet.Path]*service),
 	}
+	e.addGauges()
+	return e
 }
 
 // Apply puts a snapshot in force. Endpoints that are leaving, or whose failure
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -41,6 +41,7 @@
 		c.w.Header().Set("Connection", "close")
 	}
 	p.Write(c.w)
+	c.entry.metrics.problem(p.Code)
 	c.span.SetStatus(codes.Error, p.Code)
 	c.entry.options.Log.V(1).Info("request not answered by an endpoint", "method", c.r.Method, "path", c.r.URL.Path,
 		"caller", c.caller, "class", c.class, "code", p.Code, "outcome", p.Outcome, "detail", p.Detail)
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -17,6 +17,12 @@
 	2 * time.Second, 5 * time.Second, 10 * time.Second,
 }
 
+// problemCodes are all codes of problems.
+var problemCodes = [...]string{
+	"http-version", "method", "path", "framing", "not-ready", "no-route", "header-size", "deadline", "body-late",
+	"body", "body-size", "memory", "no-endpoint", "unreachable", "overloaded", "canceled", "draining", "watch-limit", "answer",
+}
+
 const answered = "answered" // an endpoint's answer was passed on whole
 
 // Metrics counts what the entry does. Its counters take no lock; latencies are
@@ -31,6 +37,8 @@
 	Renewals  *metrics.Counter // of connection pools after a silence
 	LinkBytes *metrics.Counter // across the link between regions
 	Aborted   *metrics.Counter // streamed answers cut short
+	Denied    *metrics.Counter // retries and hedges beyond the budget
+	problems  map[string]*metrics.Counter
 }
 
 func newMetrics() *Metrics {
@@ -45,6 +53,11 @@
 		Renewals:  set.NewCounter(`peridotlock_entry_pool_renewals_total`),
 		LinkBytes: set.NewCounter(`peridotlock_entry_link_bytes_total`),
 		Aborted:   set.NewCounter(`peridotlock_entry_aborted_answers_total`),
+		Denied:    set.NewCounter(`peridotlock_entry_retries_denied_total`),
+		problems:  make(map[string]*metrics.Counter),
+	}
+	for _, code := range problemCodes {
+		m.problems[code] = set.NewCounter(fmt.Sprintf(`peridotlock_entry_problems_total{code=%q}`, code))
 	}
 	for _, class := range []fleet.RequestClass{"", fleet.Idempotent, fleet.NonIdempotent, fleet.Watch} {
 		m.addClass(class)
@@ -75,5 +88,12 @@
 	}
 }
 
+// problem counts a problem document.
+func (m *Metrics) problem(code string) {
+	if counter := m.problems[code]; counter != nil {
+		counter.Inc()
+	}
+}
+
 // Set returns all metrics, for the operators' address.
 func (m *Metrics) Set() *metrics.Set { return m.set }
--- a/entry/race.go
+++ b/entry/race.go
@@ -158,7 +158,7 @@
 	if slot == nil {
 		return
 	}
-	if !r.budget.Withdraw() {
+	if !r.withdraw() {
 		slot.Release()
 		return
 	}
@@ -196,7 +196,15 @@
 		r.unsent++
 		return r.unsent < maxUnsent
 	}
-	return r.made-r.unsent < r.call.policy.MaxAttempts && r.budget.Withdraw()
+	return r.made-r.unsent < r.call.policy.MaxAttempts && r.withdraw()
+}
+
+func (r *race) withdraw() bool {
+	if r.budget.Withdraw() {
+		return true
+	}
+	r.call.entry.metrics.Denied.Inc()
+	return false
 }
 
 // giveUp passes on the endpoint's own error answer, if any.
