--- a/experiment/sim.go
+++ b/experiment/sim.go
@@ -16,6 +16,12 @@
 	Spec job.Spec
 }
 
+// Cancellation ends the job with the idempotency key.
+type Cancellation struct {
+	At  time.Duration
+	Key string
+}
+
 // Fault disturbs a run from From until Until.
 type Fault struct {
 	From, Until time.Duration
@@ -30,6 +36,7 @@
 	VMs      []platform.VM
 	World    *World
 	Arrivals []Arrival // in the order of their times
+	Cancels  []Cancellation
 	Faults   []Fault
 	Bad      []string // VMs that fail every task
 	Duration time.Duration
@@ -40,6 +47,8 @@
 type Scheduler interface {
 	// Submit takes a job.
 	Submit(now time.Time, s job.Spec)
+	// Cancel ends a job.
+	Cancel(now time.Time, key string)
 	// Step decides once and carries the decisions out.
 	Step(now time.Time, in Input)
 	// Ended returns how many jobs ended in each state and their ends.
@@ -118,6 +127,11 @@
 		r.scheduler.Submit(now, r.config.Arrivals[r.arrived].Spec)
 		r.arrived++
 	}
+	for _, c := range r.config.Cancels {
+		if c.At <= at && at < c.At+r.config.Step {
+			r.scheduler.Cancel(now, c.Key)
+		}
+	}
 	r.scheduler.Step(now, r.input(at))
 	r.took += time.Since(begin)
 	r.check(now)
