--- a/daemon/ctl/output.go
+++ b/daemon/ctl/output.go
@@ -51,6 +51,17 @@
 // Unwrap returns the cause.
 func (e *exitError) Unwrap() error { return e.err }
 
+// outcome returns what became of the command that ended with the code.
+func (e *exitError) outcome() problem.Outcome {
+	switch e.code {
+	case ExitNotInForce:
+		return problem.Accepted
+	case ExitUnreachable:
+		return problem.Unknown
+	}
+	return problem.Refused
+}
+
 // failure is the JSON form of an error.
 type failure struct {
 	Error   string           `json:"error"`
@@ -60,6 +71,7 @@
 	Advice  []string         `json:"advice,omitempty"`
 	Finding finding.List     `json:"findings,omitempty"`
 	Problem *problem.Problem `json:"problem,omitempty"`
+	Changed []diffLine       `json:"changed,omitempty"` // since the base of a lost edit
 }
 
 // report writes an error, if there is one, and returns the exit code.
@@ -73,6 +85,9 @@
 		return f.Code
 	}
 	fmt.Fprintln(w, f.Error)
+	if len(f.Changed) > 0 {
+		printDiff(w, f.Changed)
+	}
 	for _, line := range f.Advice {
 		fmt.Fprintln(w, "  "+line)
 	}
@@ -84,13 +99,18 @@
 	var unreachable *client.UnreachableError
 	var p *problem.Problem
 	var exit *exitError
+	var lost *lostError
 	switch {
 	case errors.As(err, &exit):
-		return failure{Error: err.Error(), Code: exit.code, Outcome: problem.Accepted}
+		return failure{Error: err.Error(), Code: exit.code, Outcome: exit.outcome()}
 	case errors.As(err, &found):
 		return failure{Error: found.Error(), Code: ExitBadInput, Outcome: problem.Refused, Finding: found}
 	case errors.As(err, &unreachable):
 		return describeUnreachable(unreachable)
+	case errors.As(err, &lost):
+		f := describeProblem(lost.Problem)
+		f.Changed = lost.changed
+		return f
 	case errors.As(err, &p):
 		return describeProblem(p)
 	}
