Count starts, refusals, ends and evictions; show waiting, active and quarantined

Change: counters peridotlock_tasks_started_total, _starts_refused_total{reason}, _tasks_ended_total{outcome}, _evictions_total{reason}; gauges of waiting and active tasks of a queue and of quarantined workers of a rack, for owned units.

--- a/queue/owner/owner.go
+++ b/queue/owner/owner.go
@@ -89,6 +89,7 @@
 
 // run keeps the queue until ctx ends.
 func (o *Owner) run(ctx context.Context) {
+	defer hideTasks(o.path)
 	defer o.work.Wait()
 	name := stream.JobsStream(string(o.path))
 	o.replica = o.opts.Follow(ctx, name, o.machine)
--- a/queue/owner/owner_test.go
+++ b/queue/owner/owner_test.go
@@ -1,14 +1,17 @@
 package owner
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
 	. "github.com/smartystreets/goconvey/convey"
 
@@ -303,6 +306,12 @@
 			So(err, ShouldBeNil)
 			So(repeated, ShouldBeTrue)
 			So(again.ID, ShouldEqual, st.ID)
+			b.until(func() bool {
+				var shown bytes.Buffer
+				metrics.WritePrometheus(&shown, false)
+				return strings.Contains(shown.String(), `peridotlock_tasks_ended_total{outcome="finished"}`) &&
+					strings.Contains(shown.String(), `peridotlock_tasks_waiting{queue="zavod/certificates"} 0`)
+			})
 		})
 		Convey("a job that no worker can hold is told so at once", func() {
 			s := spec(1)
--- a/queue/owner/resolve.go
+++ b/queue/owner/resolve.go
@@ -66,6 +66,7 @@
 	now := time.Now()
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	running := 0
 	o.replica.Read(func() {
 		o.forget(now)
 		for _, j := range o.machine.Open() {
@@ -74,6 +75,7 @@
 				if !t.IsActive() {
 					continue
 				}
+				running++
 				a := active{
 					ref: queue.TaskRef{Job: j.Number, Index: i}, attempt: t.Attempt, vm: t.VM, rackTerm: t.RackTerm,
 					state: t.State, cancelling: t.Cancelling,
@@ -87,6 +89,7 @@
 				}
 			}
 		}
+		showTasks(o.path, o.machine.Waiting(), running)
 	})
 	return unknown, cancelling
 }
@@ -167,7 +170,7 @@
 // stop asks the owner of one rack to end cancelled attempts; their ends are
 // reported as events.
 func (o *Owner) stop(ctx context.Context, path fleet.Path, group []active) {
-	args := rack.StopArgs{Rack: path, Queue: o.path, QueueTerm: o.term, Goal: rack.Cancel, Reason: "job cancelled"}
+	args := rack.StopArgs{Rack: path, Queue: o.path, QueueTerm: o.term, Goal: rack.Cancel, Reason: rack.CancelReason}
 	for _, a := range group {
 		args.Attempts = append(args.Attempts, platform.AttemptRef{Task: queue.TaskID(o.path, a.ref), Attempt: a.attempt})
 	}
--- a/rack/health.go
+++ b/rack/health.go
@@ -39,6 +39,17 @@
 	h.probation = true
 }
 
+// Quarantined counts the workers in quarantine.
+func (s *State) Quarantined(now time.Time) int {
+	n := 0
+	for _, w := range s.workers {
+		if w.health.quarantined(now) {
+			n++
+		}
+	}
+	return n
+}
+
 func (h *health) quarantined(now time.Time) bool { return now.Before(h.until) }
 
 // blocks reports whether the worker takes no further task beside those that it
--- a/rack/owner/calls.go
+++ b/rack/owner/calls.go
@@ -118,6 +118,7 @@
 		o.opts.Log.V(1).Info("events not taken", "rack", o.path, "queue", path, "code", reply.Code, "error", errorText(err))
 		return
 	}
+	countEnds(args.Events)
 	o.with(func(s *rack.State, _ time.Time, _ rack.Conditions) {
 		for _, e := range args.Events {
 			s.Acknowledge(e)
@@ -128,6 +129,7 @@
 // start sends one start and returns its result.
 func (o *Owner) start(ctx context.Context, args rack.StartArgs, st rack.Start) rack.StartResult {
 	out := rack.StartResult{Task: st.Task, Attempt: st.Attempt}
+	defer func() { countStart(out) }()
 	var vm platform.VM
 	var request platform.StartRequest
 	o.with(func(s *rack.State, now time.Time, c rack.Conditions) {
--- /dev/null
+++ b/rack/owner/metrics.go
@@ -0,0 +1,47 @@
+package owner
+
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/peridotlock/peridotlock/fleet"
+	"github.com/peridotlock/peridotlock/rack"
+)
+
+var tasksStarted = metrics.NewCounter("peridotlock_tasks_started_total")
+
+// countStart counts the outcome of one start.
+func countStart(r rack.StartResult) {
+	switch {
+	case r.Running:
+		tasksStarted.Inc()
+	case r.Refused != "":
+		metrics.GetOrCreateCounter(fmt.Sprintf("peridotlock_starts_refused_total{reason=%q}", r.Refused)).Inc()
+	}
+}
+
+// countEnds counts the events that a queue has recorded.
+func countEnds(events []rack.Event) {
+	for _, e := range events {
+		if !e.IsOver() {
+			continue
+		}
+		metrics.GetOrCreateCounter(fmt.Sprintf("peridotlock_tasks_ended_total{outcome=%q}", e.Outcome)).Inc()
+		if (e.Outcome == rack.Stopped || e.Outcome == rack.Lapsed) && e.Reason != rack.CancelReason {
+			metrics.GetOrCreateCounter(fmt.Sprintf("peridotlock_evictions_total{reason=%q}", e.Reason)).Inc()
+		}
+	}
+}
+
+func quarantinedName(path fleet.Path) string {
+	return fmt.Sprintf("peridotlock_workers_quarantined{rack=%q}", path)
+}
+
+// showQuarantined sets the gauge of a rack.
+func showQuarantined(path fleet.Path, n int) {
+	metrics.GetOrCreateGauge(quarantinedName(path), nil).Set(float64(n))
+}
+
+// hideQuarantined removes the gauge of a rack that is no longer owned.
+func hideQuarantined(path fleet.Path) { metrics.UnregisterMetric(quarantinedName(path)) }
--- a/rack/owner/owner.go
+++ b/rack/owner/owner.go
@@ -82,6 +82,7 @@
 
 // run keeps the rack until ctx ends and all calls in flight have returned.
 func (o *Owner) run(ctx context.Context) {
+	defer hideQuarantined(o.path)
 	defer o.work.Wait()
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
@@ -106,6 +107,7 @@
 		vms = s.VMs()
 		actions = s.Plan(now, c)
 		events = s.Events()
+		showQuarantined(o.path, s.Quarantined(now))
 	})
 	every := o.policy().Lease / renewShare
 	for _, vm := range vms {
--- a/rack/protocol.go
+++ b/rack/protocol.go
@@ -117,6 +117,9 @@
 	Results []StartResult `cbor:"2,keyasint"`
 }
 
+// CancelReason is the reason of a stop that is no eviction.
+const CancelReason = "job cancelled"
+
 // StopArgs asks that attempts be evicted or cancelled. The answer comes as an
 // Event once the attempt is over.
 type StopArgs struct {
