--- a/experiment/pure.go
+++ b/experiment/pure.go
@@ -29,7 +29,8 @@
 	racks   map[fleet.Path]*rack.State
 	paths   []fleet.Path
 	term    platform.Offset
-	backlog []job.Spec // submitted while the log is out
+	backlog []job.Spec // not recorded yet
+	cancels []string   // keys of jobs whose cancellation is not recorded yet
 	down    bool
 	now     time.Time
 	out     []fleet.Path
@@ -80,6 +81,34 @@
 	s.backlog = append(s.backlog, spec)
 }
 
+// Cancel implements Scheduler. A job that was not submitted is unknown.
+func (s *Pure) Cancel(_ time.Time, key string) {
+	waits := func(spec job.Spec) bool { return spec.IdempotencyKey == key }
+	if s.machine.ByKey(key) != nil || slices.ContainsFunc(s.backlog, waits) {
+		s.cancels = append(s.cancels, key)
+	}
+}
+
+// cancelAll records the cancellations and stops what still runs.
+func (s *Pure) cancelAll() {
+	for _, key := range s.cancels {
+		if j := s.machine.ByKey(key); j != nil {
+			s.write(queue.Record{Kind: queue.Cancelled, Job: j.Number})
+		}
+	}
+	s.cancels = nil
+	for _, j := range s.machine.Open() {
+		for i := range j.Tasks {
+			t := &j.Tasks[i]
+			if !t.Cancelling {
+				continue
+			}
+			ref := platform.AttemptRef{Task: queue.TaskID(s.team, queue.TaskRef{Job: j.Number, Index: i}), Attempt: t.Attempt}
+			s.racks[t.Rack].Stop(rack.StopArgs{Queue: s.team, QueueTerm: s.term, Goal: rack.Cancel, Attempts: []platform.AttemptRef{ref}})
+		}
+	}
+}
+
 func (s *Pure) conditions() rack.Conditions {
 	v := &settings.View{Policies: map[fleet.Path]settings.Policy{"": s.policy}}
 	for _, d := range domainsOf(s.vms) {
@@ -102,6 +131,7 @@
 		return
 	}
 	s.submitAll()
+	s.cancelAll()
 	s.resolve(c)
 	s.round(in, c)
 }
@@ -173,115 +203,6 @@
 	}
 }
 
-// submitAll records the jobs that arrived, and those that no worker could hold.
-func (s *Pure) submitAll() {
-	for _, spec := range s.backlog {
-		s.write(queue.Record{Kind: queue.Submitted, Spec: &spec})
-		if short, unfit := queue.Unfit(s.vms, spec); unfit {
-			number := s.machine.ByKey(spec.IdempotencyKey).Number
-			s.write(queue.Record{Kind: queue.Unschedulable, Job: number, Reason: short.String()})
-		}
-	}
-	s.backlog = nil
-}
-
-// resolve asks the rack owners about attempts that were placed under older
-// terms.
-func (s *Pure) resolve(c rack.Conditions) {
-	var records []queue.Record
-	for _, j := range s.machine.Open() {
-		for i := range j.Tasks {
-			t := &j.Tasks[i]
-			if !t.IsActive() || t.RackTerm == s.term {
-				continue
-			}
-			ref := queue.TaskRef{Job: j.Number, Index: i}
-			reply := s.racks[t.Rack].Resolve(s.now, c, rack.ResolveArgs{Queue: s.team, QueueTerm: s.term, Placements: []rack.Placement{
-				{Task: queue.TaskID(s.team, ref), Attempt: t.Attempt, VM: t.VM, RackTerm: t.RackTerm},
-			}})
-			if reply.Results[0].Fate == rack.Absent {
-				records = append(records, queue.Record{Kind: queue.Evicted, Job: j.Number, Index: i, Attempt: t.Attempt})
-			}
-		}
-	}
-	s.write(records...)
-}
-
-// round places what may start now.
-func (s *Pure) round(in Input, c rack.Conditions) {
-	if s.machine.Waiting() == 0 {
-		return
-	}
-	var summaries []rack.Summary
-	for _, path := range s.paths {
-		summaries = append(summaries, s.racks[path].Summary(s.now, c))
-	}
-	chooser := queue.NewChooser(summaries)
-	order := queue.Order{Now: s.now, Team: settings.Team{Path: s.team}, Policy: s.policy.Tasks, History: s.history, VMs: s.vms}
-	candidates, _ := order.Next(s.machine)
-	var placed []queue.Record
-	for _, k := range candidates {
-		path, _, ok := chooser.Choose(k)
-		if !ok || (k.Task.Failures > 0 && !s.budget.Take(s.now, s.policy.Tasks.RetryBudget)) {
-			continue
-		}
-		if rec, ok := s.reserve(path, k, c); ok {
-			placed = append(placed, rec)
-		}
-	}
-	s.write(placed...)
-	s.startAll(in, placed, c)
-}
-
-func (s *Pure) reserve(path fleet.Path, k queue.Candidate, c rack.Conditions) (queue.Record, bool) {
-	reply := s.racks[path].Reserve(s.now, c, rack.ReserveArgs{Queue: s.team, QueueTerm: s.term, Requests: []rack.Request{{
-		Task: queue.TaskID(s.team, k.Ref), Attempt: k.Task.Attempt + 1, Kind: k.Job.Spec.Kind, Class: k.Job.Spec.Class,
-		Size: k.Size, FailureDomains: k.Job.Spec.FailureDomains, Avoid: k.Avoid, FailedElsewhere: k.Job.HasFailed(), Evicted: k.Task.Evictions > 0,
-	}}})
-	return queue.Record{
-		Kind: queue.Placed, Job: k.Ref.Job, Index: k.Ref.Index, Attempt: k.Task.Attempt + 1,
-		VM: reply.Results[0].VM, Rack: path, RackTerm: s.term,
-	}, reply.Results[0].VM != ""
-}
-
-func (s *Pure) startAll(in Input, placed []queue.Record, c rack.Conditions) {
-	var records []queue.Record
-	for _, p := range placed {
-		rec := queue.Record{Kind: queue.Released, Job: p.Job, Index: p.Index, Attempt: p.Attempt}
-		if s.start(in, p, c) {
-			rec.Kind = queue.Started
-			s.Starts++
-		}
-		records = append(records, rec)
-	}
-	s.write(records...)
-}
-
-func (s *Pure) start(in Input, p queue.Record, c rack.Conditions) bool {
-	ref := queue.TaskRef{Job: p.Job, Index: p.Index}
-	st := rack.Start{
-		Task: queue.TaskID(s.team, ref), Attempt: p.Attempt,
-		Checkpoint: s.machine.Task(ref).Checkpoint, RunTime: s.machine.Job(p.Job).Spec.RunTime,
-	}
-	r := s.racks[p.Rack]
-	vm, request, refused := r.Start(s.now, c, rack.StartArgs{Queue: s.team, QueueTerm: s.term}, st)
-	if refused != "" {
-		return false
-	}
-	attempt := platform.AttemptRef{Task: st.Task, Attempt: st.Attempt}
-	if in.Cut[vm.ID] {
-		r.StartRefused(vm.ID, attempt)
-		return false
-	}
-	status, err := in.Workers[vm.ID].Start(s.now, request)
-	if err != nil {
-		r.StartRefused(vm.ID, attempt)
-		return false
-	}
-	r.Answered(vm.ID, status, s.now, c)
-	return true
-}
-
 // Ended implements Scheduler.
 func (s *Pure) Ended() []End {
 	var out []End
