Place latency-critical tasks beside each other

Cause: where all services arrive before the batch jobs, the score spread them, so that nearly every VM held one and batch tasks beside them were throttled and moved. The slowdown of batch tasks that come later was not foreseen. Change: the first latency-critical task of a VM costs 0.3 of added slowdown.

--- a/place/place_test.go
+++ b/place/place_test.go
@@ -66,6 +66,14 @@
 			So(Choose([]VM{busy, idle}, r, settings.Weights{TailLatency: 1}, m).VM, ShouldEqual, "idle")
 			So(Choose([]VM{busy, idle}, r, settings.Weights{Evictions: 1}, m).VM, ShouldEqual, "busy")
 		})
+		Convey("a latency-critical task joins others rather than open one more VM to batch tasks", func() {
+			service := Request{Kind: "registry", Class: fleet.LatencyCritical, Size: r.Size}
+			holds, empty := vm("holds"), vm("empty")
+			holds.Tasks = []Resident{{Kind: "registry", Class: fleet.LatencyCritical}}
+			holds.Committed = r.Size
+			So(Choose([]VM{empty, holds}, service, equal, interference.None{}).VM, ShouldEqual, "holds")
+			So(Choose([]VM{empty, holds}, r, equal, interference.None{}).VM, ShouldEqual, "empty")
+		})
 		Convey("accelerators are kept for tasks that need them", func() {
 			plain, gpu := vm("plain"), vm("gpu")
 			gpu.Size.Accelerators = 2
--- a/place/score.go
+++ b/place/score.go
@@ -10,6 +10,10 @@
 // keeps them from tasks that need them.
 const acceleratorPenalty = 0.25
 
+// exposurePenalty is the added slowdown expected of a VM's first
+// latency-critical task.
+const exposurePenalty = 0.3
+
 // scoreOf rates a VM for a task; larger is better. Weights turn the expected
 // slowdown of latency-critical tasks, the expected slowdown of batch tasks and
 // the risk of an eviction into one figure.
@@ -17,6 +21,7 @@
 	latency, pace := slowdowns(v, r, m)
 	score := -w.TailLatency*latency - w.Throughput*pace
 	score -= w.Evictions * evictionRisk(v, r)
+	score -= w.TailLatency * exposure(v, r)
 	if r.Size.Accelerators == 0 && v.Size.Accelerators > v.Committed.Accelerators {
 		score -= acceleratorPenalty
 	}
@@ -40,6 +45,21 @@
 	return latency, pace
 }
 
+// exposure is what a latency-critical task is expected to suffer from batch
+// tasks that will be placed beside it later. A VM that holds such tasks already
+// is avoided by batch tasks, so one more adds nothing.
+func exposure(v *VM, r Request) float64 {
+	if r.Class != fleet.LatencyCritical {
+		return 0
+	}
+	for _, t := range v.Tasks {
+		if t.Class == fleet.LatencyCritical {
+			return 0
+		}
+	}
+	return exposurePenalty
+}
+
 // evictionRisk grows with the share of the VM that is in use after the task
 // was placed: sizes are uncertain, and a full VM has no room for an error.
 func evictionRisk(v *VM, r Request) float64 {
