membership: a node that others could not reach keeps itself on probation

Cause: TestFlappingMember failed in 2 of 26 runs: a probation was counted in the views of others only, which seldom saw the node dead since it refuted each suspicion; and the node itself, which decides on its claims, knew of none. Ruled out: counting suspicions in each view; views differ. Change: each new verdict that a node refutes puts it on probation in its own view, which its planner heeds. The test checks the node's own view, and that the others see it live, in place of one view of another node.

--- a/membership/member.go
+++ b/membership/member.go
@@ -43,7 +43,7 @@
 	State         State
 	Incarnation   uint64    // raised by the member itself to refute a suspicion
 	Since         time.Time // start of the state by the local clock
-	Probation     time.Time // gets no new units before, since it came back from the dead
+	Probation     time.Time // gets no new units before, since others lately could not reach it
 }
 
 // Update is a verdict on a member, passed on with probes.
--- a/membership/prober_test.go
+++ b/membership/prober_test.go
@@ -222,15 +222,15 @@
 }
 
 func TestFlappingMember(t *testing.T) {
-	inFleet(t, "A node that calls out but can't be reached comes back ever less trusted", func(_ context.Context, n *network) {
+	inFleet(t, "A node that calls out but can't be reached takes no units for ever longer times", func(_ context.Context, n *network) {
 		n.set(func() { n.cut = func(_, to *node) bool { return to.id == "n05" } })
 		time.Sleep(3 * time.Minute)
 		n.set(func() { n.cut = nil })
 		time.Sleep(20 * time.Second)
+		So(n.states("n05"), ShouldResemble, map[State]int{Live: fleetSize - 1})
 		now := time.Now()
-		for _, m := range n.nodes["n06"].prober.Members() {
+		for _, m := range n.nodes["n05"].prober.Members() {
 			if m.ID == "n05" {
-				So(m.State, ShouldEqual, Live)
 				So(m.Probation.Sub(now), ShouldBeGreaterThan, time.Minute)
 			}
 		}
--- a/membership/table.go
+++ b/membership/table.go
@@ -51,7 +51,7 @@
 	leaving bool // so said by the list
 	doubted bool // this node probes the suspect until it is live or dead
 	silent  int  // confirmed silences in a row seen by this node
-	returns int  // from the dead
+	returns int  // from the dead, or of this node from a suspicion
 }
 
 // NewTable returns a table that knows self alone. Self's Incarnation must be
@@ -210,11 +210,15 @@
 }
 
 // refute answers a verdict on this node with a higher incarnation, and tells
-// the present one again when the verdict was refuted before.
+// the present one again when the verdict was refuted before. Each new verdict
+// puts this node on probation, since others could not reach it.
 func (t *Table) refute(e *entry, u Update, now time.Time) {
 	if u.State < Suspect {
 		return
 	}
+	if u.Incarnation >= e.Incarnation {
+		e.comeBack(now)
+	}
 	e.Incarnation = max(e.Incarnation, u.Incarnation+1)
 	t.set(e, e.State, now)
 }
--- a/ownership/plan.go
+++ b/ownership/plan.go
@@ -177,7 +177,8 @@
 		r.held[i] = holding(s.Holdings, u.Unit)
 		r.load[r.held[i].Claim.Node]++
 	}
-	r.canHold = r.members[s.Self].State == membership.Live
+	self := r.members[s.Self]
+	r.canHold = self.State == membership.Live && !now.Before(self.Probation)
 	mean := float64(len(s.Units)) / float64(max(1, len(r.live)))
 	r.limit = int(math.Ceil(mean * loadSlack))
 	return r
