--- a/daemon/load/run.go
+++ b/daemon/load/run.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/netip"
@@ -21,6 +22,8 @@
 	exitUsage     = 2
 )
 
+var errTarget = errors.New("target is not an IP number and port")
+
 type flags struct {
 	Experiment experiment `cmd:"" help:"Compare entries in one process: loads, then faults."`
 	Overhead   overhead   `cmd:"" help:"Measure the added latency and CPU of an entry against direct calls."`
@@ -81,7 +84,12 @@
 		fmt.Fprintf(stderr, "peridotlock-load: %v; see --help\n", err)
 		return exitUsage
 	}
-	switch command.Command() {
+	return f.run(ctx, command.Command(), stdout, stderr)
+}
+
+func (f *flags) run(ctx context.Context, command string, stdout, stderr io.Writer) int {
+	var err error
+	switch command {
 	case "overhead":
 		err = f.Overhead.run(ctx, stdout)
 	case "drive":
@@ -89,11 +97,14 @@
 	default:
 		err = f.Experiment.run(ctx, stdout)
 	}
-	if err != nil {
-		fmt.Fprintf(stderr, "peridotlock-load: %v\n", err)
-		return exitViolation
+	if err == nil {
+		return exitOK
+	}
+	fmt.Fprintf(stderr, "peridotlock-load: %v\n", err)
+	if errors.Is(err, errTarget) {
+		return exitUsage
 	}
-	return exitOK
+	return exitViolation
 }
 
 func (x experiment) run(ctx context.Context, w io.Writer) error {
@@ -131,7 +142,7 @@
 	g := &core.Generator{Rate: x.Rate, Duration: x.Duration, Deadline: x.Deadline, Mix: core.DefaultMix, Name: "drive", Seed: x.Seed}
 	for _, t := range x.Target {
 		if _, err := netip.ParseAddrPort(t); err != nil {
-			return fmt.Errorf("target %q is not an IP number and port", t)
+			return fmt.Errorf("%w: %q", errTarget, t)
 		}
 		g.Targets = append(g.Targets, "http://"+t)
 	}
