--- a/entry/trace_test.go
+++ b/entry/trace_test.go
@@ -1,6 +1,8 @@
 package entry_test
 
 import (
+	"strings"
+	"sync"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -32,13 +34,18 @@
 func TestNoLeaks(t *testing.T) {
 	ignore := goleak.IgnoreCurrent()
 	Convey("Faults of all kinds leave no goroutine behind", t, func() {
+		b := newBench(benchOptions{endpoints: 3, fault: func(id string, _ int) load.Fault {
+			fault, _, _ := strings.Cut(id, "/")
+			return load.Fault(fault)
+		}})
+		var pending sync.WaitGroup
 		for _, fault := range load.Faults {
-			b := newBench(benchOptions{endpoints: 2, fault: firstRun(fault)})
-			b.send("GET", "/lookups", "l", "")
-			b.send("POST", "/records", "r", "pipe")
-			b.close()
-			b.entry.Close()
+			pending.Go(func() { b.send("GET", "/lookups", string(fault)+"/l", "") })
+			pending.Go(func() { b.send("POST", "/records", string(fault)+"/r", "pipe") })
 		}
+		pending.Wait()
+		b.close()
+		b.entry.Close()
 		So(eventually(func() bool { return goleak.Find(ignore) == nil }), ShouldBeTrue)
 	})
 }
