Report and renew by version instead of naming each attempt

Ruled out: longer leases, which delay the end of attempts on lost workers; another encoding, which changes the constant only. Change: reports carry a version; a renewal names the version that it knows and the worker answers with what changed. Workers without versions are asked as before. Test: TestShortRenewalsEqualWholeOnes compares leases and reports with a worker that gets whole requests; it fails when a worker takes any version as known.

--- a/standin/worker/machine.go
+++ b/standin/worker/machine.go
@@ -39,6 +39,7 @@
 	newest   map[string]int // newest attempt started, by task
 	failAll  bool
 	factor   float64 // true run time over declared
+	version  version
 }
 
 // attempt is one attempt of a task at this worker.
@@ -47,11 +48,12 @@
 	until   time.Duration // end of the lease
 	runTime time.Duration // when alone and not throttled
 	share   float64
+	changed platform.Version // when the status last changed, apart from progress
 }
 
 // NewMachine returns a worker without tasks.
 func NewMachine(vm string, size fleet.Resources, pace Pace, o Observer) *Machine {
-	return &Machine{vm: vm, size: size, pace: pace, observer: o, term: -1, newest: make(map[string]int), factor: 1}
+	return &Machine{vm: vm, size: size, pace: pace, observer: o, term: -1, newest: make(map[string]int), factor: 1, version: firstVersion}
 }
 
 // SetFault makes all tasks fail and scales the run times of later starts.
@@ -80,6 +82,7 @@
 		until:   m.now + r.Lease,
 		runTime: m.runTime(r),
 		share:   1,
+		changed: m.version.next(),
 	}
 	m.attempts = append(m.attempts, a)
 	m.newest[r.Task] = r.Token.Attempt
@@ -96,13 +99,16 @@
 	if refused := m.adopt(r.Term); refused != nil {
 		return refused
 	}
+	listed := make(map[platform.AttemptRef]bool, len(r.Attempts))
 	for _, ref := range r.Attempts {
-		a := m.find(ref)
-		if a == nil || a.status.State != platform.AttemptRunning {
-			continue
+		listed[ref] = true
+	}
+	known := r.Known && m.version.follows(r.Since)
+	for _, a := range m.running() {
+		if listed[a.ref()] || known && a.changed <= r.Since {
+			a.until = m.now + r.Lease
+			m.observer.Renewed(a.ref(), a.until)
 		}
-		a.until = m.now + r.Lease
-		m.observer.Renewed(ref, a.until)
 	}
 	m.forget(r.Settled)
 	return nil
@@ -116,6 +122,7 @@
 	}
 	if a.status.State == platform.AttemptRunning {
 		a.status.Checkpoint = checkpointOf(a.status)
+		a.changed = m.version.next()
 	}
 	return a.status, nil
 }
@@ -155,6 +162,7 @@
 		m.observer.Lost(a.ref())
 	}
 	m.attempts = nil
+	m.version.restart()
 }
 
 // Skip moves the clock to now without progress, as when the VM is paused.
@@ -171,18 +179,38 @@
 // Report returns the worker's account of itself, without usage.
 func (m *Machine) Report(now time.Duration) platform.Report {
 	m.Advance(now)
-	r := platform.Report{VM: m.vm, Clock: int64(m.now), Term: m.term, Size: m.size}
+	r := platform.Report{VM: m.vm, Clock: int64(m.now), Term: m.term, Size: m.size, Version: platform.Version(m.version)}
 	for _, a := range m.attempts {
 		r.Attempts = append(r.Attempts, a.status)
 	}
 	return r
 }
 
+// ReportSince returns what changed after the version, or everything when that
+// version is not one of the present count.
+func (m *Machine) ReportSince(now time.Duration, since platform.Version) platform.Report {
+	r := m.Report(now)
+	if !m.version.follows(since) {
+		return r
+	}
+	r.Since = since
+	r.Attempts = nil
+	for _, a := range m.attempts {
+		if a.changed > since {
+			r.Attempts = append(r.Attempts, a.status)
+		}
+	}
+	return r
+}
+
 // adopt refuses an older term and remembers a newer one.
 func (m *Machine) adopt(term platform.Offset) *platform.RefusedError {
 	if term < m.term {
 		return m.refusal(platform.RefusedOldTerm, "term %d is older than %d", term, m.term)
 	}
+	if term > m.term {
+		m.version.restart()
+	}
 	m.term = term
 	return nil
 }
@@ -251,6 +279,7 @@
 
 func (m *Machine) end(a *attempt, state platform.AttemptState, at time.Duration) {
 	a.status.State = state
+	a.changed = m.version.next()
 	if state == platform.AttemptFailed {
 		a.status.Error = "task failed on " + m.vm
 	}
--- a/standin/worker/server.go
+++ b/standin/worker/server.go
@@ -40,6 +40,7 @@
 	machine *Machine
 	runs    map[platform.AttemptRef]*ledger.Run
 	samples []sample // oldest first
+	told    told
 }
 
 // sample is a measurement and its time.
@@ -82,7 +83,7 @@
 		if refused := s.machine.Renew(now, r); refused != nil {
 			return nil, refused
 		}
-		return s.report(now), nil
+		return s.reportSince(now, r.Since), nil
 	}))
 	mux.HandleFunc("POST /v1/checkpoint", handle(s, func(now time.Duration, r platform.ControlRequest) (any, *platform.RefusedError) {
 		return answer(s.machine.Checkpoint(now, r))
@@ -130,17 +131,36 @@
 
 func (s *Server) report(now time.Duration) platform.Report {
 	r := s.machine.Report(now)
+	r.Usage = s.usage(now)
+	return r
+}
+
+// reportSince returns what changed after the version, with the measurements
+// that the owner was not told yet.
+func (s *Server) reportSince(now time.Duration, since platform.Version) platform.Report {
+	r := s.machine.ReportSince(now, since)
+	r.Usage = s.usage(now)
+	if r.Since == 0 {
+		s.told = told{}
+	}
+	r.Usage = s.told.fresh(now, r.Usage)
+	return r
+}
+
+// usage returns the newest measurements that are old enough to be known.
+func (s *Server) usage(now time.Duration) []platform.Usage {
+	var out []platform.Usage
 	for _, old := range s.samples {
 		age := now - old.at
 		if age < s.opts.UsageLag {
 			break
 		}
-		r.Usage = append([]platform.Usage{}, old.usage...)
-		for i := range r.Usage {
-			r.Usage[i].Age = age
+		out = append([]platform.Usage{}, old.usage...)
+		for i := range out {
+			out[i].Age = age
 		}
 	}
-	return r
+	return out
 }
 
 func (s *Server) tick() {
