Share the start of both daemons; change the log's verbosity by the settings

Cause: entry and scheduler parsed flags and files with the same forty lines, relay.Follower did what entry/source does and nobody used it, and four keys of the settings had no effect (control-bytes-per-second, probe-every, urgent-start and the verbosity that operators need while a daemon runs). Not changed: weight of a team is read but has no effect yet.

--- a/daemon/entry/drain.go
+++ b/daemon/entry/drain.go
@@ -14,8 +14,8 @@
 	core "github.com/peridotlock/peridotlock/entry"
 )
 
-// daemon holds the servers of the entry.
-type daemon struct {
+// server holds the servers of the entry.
+type server struct {
 	node   config.Node
 	log    logr.Logger
 	entry  *core.Entry
@@ -24,7 +24,7 @@
 
 // run serves until ctx ends and then drains: not ready first, after a while no
 // new connections, then the requests in flight to their end.
-func (d *daemon) run(ctx context.Context, callers, operators net.Listener) error {
+func (d *server) run(ctx context.Context, callers, operators net.Listener) error {
 	front := callerServer(d.entry)
 	back := &http.Server{Handler: d.status.handler(), ReadHeaderTimeout: readHeaderTimeout}
 	failed := make(chan error, 2)
@@ -40,7 +40,7 @@
 	return d.drain(front)
 }
 
-func (d *daemon) drain(front *http.Server) error {
+func (d *server) drain(front *http.Server) error {
 	wait := time.Duration(d.node.DrainMilliseconds) * time.Millisecond
 	d.log.Info("drain begins", "wait", wait)
 	d.status.drain()
--- a/daemon/entry/run.go
+++ b/daemon/entry/run.go
@@ -10,23 +10,15 @@
 	"net/http"
 	"time"
 
-	"github.com/alecthomas/kong"
 	"github.com/go-logr/logr"
 
-	"github.com/peridotlock/peridotlock/config"
+	"github.com/peridotlock/peridotlock/daemon"
 	core "github.com/peridotlock/peridotlock/entry"
 	"github.com/peridotlock/peridotlock/entry/source"
 	"github.com/peridotlock/peridotlock/telemetry"
 	"github.com/peridotlock/peridotlock/wire"
 )
 
-// Exit codes.
-const (
-	exitOK      = 0
-	exitFailure = 1
-	exitUsage   = 2
-)
-
 const (
 	readHeaderTimeout = 10 * time.Second
 	idleTimeout       = 2 * time.Minute
@@ -34,46 +26,23 @@
 	flushTimeout      = 2 * time.Second // of traces at the end
 )
 
-type flags struct {
-	Config string `required:"" help:"File with the VM's name, failure domain and addresses." placeholder:"FILE"`
+const programName = "peridotlock-entry"
+
+var program = daemon.Program{
+	Name:        programName,
+	Description: "Serves callers: routes their requests to endpoints.",
+	Serve:       serve,
 }
 
 // Run runs the daemon until ctx ends and returns its exit code.
 func Run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
-	var f flags
-	code := -1
-	parser, err := kong.New(&f, kong.Name("peridotlock-entry"), kong.Writers(stdout, stderr),
-		kong.Description("Serves callers: routes their requests to endpoints."), kong.Exit(func(c int) { code = c }))
-	if err != nil {
-		fmt.Fprintln(stderr, err)
-		return exitFailure
-	}
-	_, err = parser.Parse(args)
-	if code >= 0 {
-		return code
-	}
-	if err != nil {
-		fmt.Fprintf(stderr, "peridotlock-entry: %v; see --help\n", err)
-		return exitUsage
-	}
-	node, err := config.Load(f.Config)
-	if err != nil {
-		fmt.Fprintln(stderr, err)
-		return exitUsage
-	}
-	var verbosity telemetry.Verbosity
-	verbosity.Set(node.LogVerbosity)
-	log := telemetry.NewLogger(stderr, &verbosity)
-	if err := serve(ctx, node, log); err != nil {
-		log.Error(err, "entry ends")
-		return exitFailure
-	}
-	return exitOK
+	return program.Run(ctx, args, stdout, stderr)
 }
 
-func serve(ctx context.Context, node config.Node, log logr.Logger) error {
+func serve(ctx context.Context, i daemon.Instance) error {
+	node, log := i.Node, i.Log
 	tracer, stopTracer, err := telemetry.NewTracer(ctx, telemetry.TraceOptions{
-		Endpoint: node.TraceEndpoint, Share: node.TraceShare, Daemon: "peridotlock-entry", Node: node.Name,
+		Endpoint: node.TraceEndpoint, Share: node.TraceShare, Daemon: programName, Node: node.Name,
 	})
 	if err != nil {
 		return err
@@ -94,10 +63,14 @@
 	defer client.Close()
 	follow, stopFollow := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopFollow()
-	src := &source.Source{Node: node.Name, Client: client, Log: log, Apply: e.Apply, Failing: status.fail}
+	apply := func(s source.Snapshot) {
+		i.SetVerbosity(s.View.Nodes.LogVerbosity)
+		e.Apply(s)
+	}
+	src := &source.Source{Node: node.Name, Client: client, Log: log, Apply: apply, Failing: status.fail}
 	go src.Run(follow)
 	log.Info("entry serves", "callers", callers.Addr().String(), "operators", operators.Addr().String())
-	d := &daemon{node: node, log: log, entry: e, status: status}
+	d := &server{node: node, log: log, entry: e, status: status}
 	return d.run(ctx, callers, operators)
 }
 
--- a/daemon/entry/run_test.go
+++ b/daemon/entry/run_test.go
@@ -18,6 +18,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/peridotlock/peridotlock/daemon"
 	"github.com/peridotlock/peridotlock/fleet"
 	"github.com/peridotlock/peridotlock/load"
 	"github.com/peridotlock/peridotlock/platform"
@@ -179,7 +180,7 @@
 				_, err = io.ReadAll(reader)
 				So(err, ShouldBeNil)
 				So(watch.Trailer.Get("Retry-After"), ShouldEqual, "1")
-				So(<-d.ended, ShouldEqual, exitOK)
+				So(<-d.ended, ShouldEqual, daemon.ExitOK)
 				_, err = net.Dial("tcp", d.callers)
 				So(err, ShouldNotBeNil)
 			})
@@ -216,7 +217,7 @@
 			for v := range verdicts {
 				So(v, ShouldEqual, load.Whole)
 			}
-			So(<-d.ended, ShouldEqual, exitOK)
+			So(<-d.ended, ShouldEqual, daemon.ExitOK)
 		})
 	})
 }
@@ -226,7 +227,7 @@
 		file := filepath.Join(t.TempDir(), "node.yaml")
 		So(os.WriteFile(file, []byte("name: a\ncallers: localhost:1\nwrong: 1\n"), 0o600), ShouldBeNil)
 		var out, log bytes.Buffer
-		So(Run(context.Background(), []string{"--config", file}, &out, &log), ShouldEqual, exitUsage)
+		So(Run(context.Background(), []string{"--config", file}, &out, &log), ShouldEqual, daemon.ExitUsage)
 		So(log.String(), ShouldContainSubstring, "not an IP number")
 		So(log.String(), ShouldContainSubstring, "wrong")
 	})
--- a/daemon/scheduler/scheduler.go
+++ b/daemon/scheduler/scheduler.go
@@ -8,62 +8,26 @@
 	"io"
 	"net"
 
-	"github.com/alecthomas/kong"
-	"github.com/go-logr/logr"
-
 	"github.com/peridotlock/peridotlock/config"
+	"github.com/peridotlock/peridotlock/daemon"
 	"github.com/peridotlock/peridotlock/platform/client"
 	core "github.com/peridotlock/peridotlock/scheduler"
-	"github.com/peridotlock/peridotlock/telemetry"
-)
-
-// Exit codes.
-const (
-	exitOK      = 0
-	exitFailure = 1
-	exitUsage   = 2
+	"github.com/peridotlock/peridotlock/settings"
 )
 
-type flags struct {
-	Config string `required:"" help:"File with the VM's name, failure domain and addresses." placeholder:"FILE"`
+var program = daemon.Program{
+	Name:        "peridotlock-scheduler",
+	Description: "Follows the log, relays settings, owns racks and queues, places tasks.",
+	Serve:       serve,
 }
 
 // Run runs the daemon until ctx ends and returns its exit code.
 func Run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
-	var f flags
-	code := -1
-	parser, err := kong.New(&f, kong.Name("peridotlock-scheduler"), kong.Writers(stdout, stderr),
-		kong.Description("Follows the log, relays settings, owns racks and queues, places tasks."), kong.Exit(func(c int) { code = c }))
-	if err != nil {
-		fmt.Fprintln(stderr, err)
-		return exitFailure
-	}
-	_, err = parser.Parse(args)
-	if code >= 0 {
-		return code
-	}
-	if err != nil {
-		fmt.Fprintf(stderr, "peridotlock-scheduler: %v; see --help\n", err)
-		return exitUsage
-	}
-	node, err := config.Load(f.Config)
-	if err != nil {
-		fmt.Fprintln(stderr, err)
-		return exitUsage
-	}
-	var verbosity telemetry.Verbosity
-	verbosity.Set(node.LogVerbosity)
-	log := telemetry.NewLogger(stderr, &verbosity)
-	if err := Serve(ctx, node, log); err != nil {
-		log.Error(err, "scheduler ends")
-		return exitFailure
-	}
-	log.Info("scheduler ends")
-	return exitOK
+	return program.Run(ctx, args, stdout, stderr)
 }
 
-// Serve runs the scheduler of a node until ctx ends.
-func Serve(ctx context.Context, node config.Node, log logr.Logger) error {
+func serve(ctx context.Context, i daemon.Instance) error {
+	node := i.Node
 	listeners, err := listen(node)
 	if err != nil {
 		return err
@@ -77,9 +41,10 @@
 		Log:     logClient,
 		VMs:     vms,
 		Workers: newWorkers().client,
-		Logger:  log,
+		Logger:  i.Log,
+		Applied: func(v *settings.View) { i.SetVerbosity(v.Nodes.LogVerbosity) },
 	})
-	log.Info("scheduler serves", "control", node.Control, "operators", node.Operators)
+	i.Log.Info("scheduler serves", "control", node.Control, "operators", node.Operators)
 	return s.Run(ctx, listeners)
 }
 
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -9,9 +9,7 @@
 	"github.com/fxamacker/cbor/v2"
 	. "github.com/smartystreets/goconvey/convey"
 
-	"github.com/peridotlock/peridotlock/fleet"
 	"github.com/peridotlock/peridotlock/platform"
-	"github.com/peridotlock/peridotlock/settings"
 	"github.com/peridotlock/peridotlock/stream"
 	"github.com/peridotlock/peridotlock/wire"
 )
@@ -47,18 +45,6 @@
 func (m *listMachine) Snapshot() ([]byte, error) { return cbor.Marshal(m.ids) }
 func (m *listMachine) Restore(data []byte) error { return cbor.Unmarshal(data, &m.ids) }
 
-func view(revision platform.Offset) *settings.View {
-	return &settings.View{
-		Revision: revision,
-		Domains:  []settings.FailureDomain{{Path: "zavod/kontinent/zagreb-a", Region: "zavod/kontinent", Out: true}},
-		Services: []settings.Service{{Path: "zavod/registry", Routes: []settings.Route{{Prefix: "/", Class: fleet.Idempotent}}}},
-		Teams:    []settings.Team{{Path: "zavod/releases", Quota: fleet.Resources{MilliCPU: 4000}, Weight: 1.5}},
-		Policies: map[fleet.Path]settings.Policy{"": settings.DefaultPolicy()},
-		Log:      settings.DefaultLogPolicy(),
-		Nodes:    settings.DefaultNodePolicy(),
-	}
-}
-
 // within waits until check holds.
 func within(check func() bool) bool {
 	for end := time.Now().Add(patience); time.Now().Before(end); {
@@ -96,31 +82,6 @@
 		})
 		addr := l.Addr().String()
 
-		Convey("a follower gets each newer view and list whole, never an older one, and acknowledges it", func() {
-			f := NewFollower(pool.Client(addr), "n1", "entry")
-			done := make(chan error, 1)
-			go func() { done <- f.Run(ctx) }()
-			Reset(func() {
-				cancel()
-				<-done
-			})
-			relayed.SetView(view(7))
-			vms := []platform.VM{{ID: "w1", Kind: platform.KindWorker, Size: fleet.Resources{MilliCPU: 64000}}}
-			So(relayed.SetVMs(platform.VMSnapshot{AsOf: time.Unix(9, 0), VMs: vms}), ShouldBeNil)
-			So(within(func() bool { return f.View() != nil && f.VMs() != nil }), ShouldBeTrue)
-			So(f.View(), ShouldResemble, view(7))
-			So(f.VMs(), ShouldResemble, vms)
-			relayed.SetView(view(6))
-			relayed.SetView(view(9))
-			So(within(func() bool { return f.View().Revision == 9 }), ShouldBeTrue)
-			So(within(func() bool {
-				acks := relayed.Acks()
-				return len(acks) == 1 && acks[0].Node == "n1" && acks[0].Process == "entry" && acks[0].Revision == 9
-			}), ShouldBeTrue)
-			f.take(SnapshotReply{View: view(8), Seen: 8}, time.Now())
-			So(f.View().Revision, ShouldEqual, 9)
-			So(f.Age(time.Now()), ShouldBeBetween, time.Second, patience)
-		})
 		Convey("a peer that starts while the log is down gets a snapshot and then records, with their times", func() {
 			So(within(func() bool { ok, _ := replica.Ready(); return ok }), ShouldBeTrue)
 			second := &listMachine{}
--- a/scheduler/loops.go
+++ b/scheduler/loops.go
@@ -133,6 +133,9 @@
 	s.relay.SetView(v)
 	s.relay.Acknowledge(s.o.Node.Name, schedulerProcess, v.Revision)
 	s.writer.SetBudget(logPolicy(v).AppendsPerSecond)
+	if s.o.Applied != nil {
+		s.o.Applied(v)
+	}
 }
 
 // logPolicy returns the log policy of a view, or the defaults where it is unset.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -38,6 +38,7 @@
 	VMs     platform.VMList
 	Workers func(addr string) platform.Worker
 	Logger  logr.Logger
+	Applied func(v *settings.View) // called with the view in force at intervals; may be nil
 }
 
 // Scheduler is the scheduler of one VM.
--- a/settings/schema.go
+++ b/settings/schema.go
@@ -27,6 +27,7 @@
 	maxViewAge   = 5 * time.Second
 	maxLease     = time.Minute
 	maxAttempts  = 100
+	maxVerbosity = 2
 	minSnapshots = 10 * time.Second
 )
 
@@ -53,7 +54,6 @@
 	durationField("policy.tasks.retry-backoff", onAny, 10*time.Millisecond, time.Hour, func(v *values) *time.Duration { return &v.policy.Tasks.RetryBackoff }),
 	numberField("policy.tasks.retry-budget", onAny, 0, maxRate, func(v *values) *float64 { return &v.policy.Tasks.RetryBudget }),
 	numberField("policy.tasks.move-rate", onAny, 0, maxRate, func(v *values) *float64 { return &v.policy.Tasks.MoveRate }),
-	durationField("policy.tasks.urgent-start", onAny, 10*time.Millisecond, time.Hour, func(v *values) *time.Duration { return &v.policy.Tasks.UrgentStart }),
 	integerField("policy.tasks.quarantine-after", onAny, 1, maxAttempts, func(v *values) *int { return &v.policy.Tasks.QuarantineAfter }),
 
 	numberField("policy.weights.tail-latency", onAny, 0, maxWeight, func(v *values) *float64 { return &v.policy.Weights.TailLatency }),
@@ -67,8 +67,7 @@
 
 	numberField("log.appends-per-second", onRoot, 0.1, 1000, func(v *values) *float64 { return &v.log.AppendsPerSecond }),
 	durationField("log.snapshot-every", onRoot, minSnapshots, 24*time.Hour, func(v *values) *time.Duration { return &v.log.SnapshotEvery }),
-	integerField("nodes.control-bytes-per-second", onRoot, 256, maxBytes, func(v *values) *int64 { return &v.nodes.ControlBytesPerSecond }),
-	durationField("nodes.probe-every", onRoot, 50*time.Millisecond, time.Minute, func(v *values) *time.Duration { return &v.nodes.ProbeEvery }),
+	integerField("nodes.log-verbosity", onRoot, 0, maxVerbosity, func(v *values) *int { return &v.nodes.LogVerbosity }),
 }
 
 // fields and groups index the schema by key; a group is a key that only holds
--- a/settings/view.go
+++ b/settings/view.go
@@ -82,7 +82,6 @@
 	RetryBackoff    time.Duration
 	RetryBudget     float64 // retries per second and team
 	MoveRate        float64 // moves a second while a failure domain drains
-	UrgentStart     time.Duration
 	QuarantineAfter int // failures of different jobs on a worker
 }
 
@@ -99,10 +98,9 @@
 	SnapshotEvery    time.Duration // well below the platform's retention
 }
 
-// NodePolicy bounds what control may cost one VM.
+// NodePolicy applies to the daemons of all entry VMs.
 type NodePolicy struct {
-	ControlBytesPerSecond int64
-	ProbeEvery            time.Duration
+	LogVerbosity int // 0, 1 or 2; the larger of this and the node's file counts
 }
 
 // DefaultPolicy returns the policy that applies where no branch says otherwise.
@@ -128,7 +126,6 @@
 			RetryBackoff:    time.Second,
 			RetryBudget:     2,
 			MoveRate:        4,
-			UrgentStart:     3300 * time.Millisecond,
 			QuarantineAfter: 3,
 		},
 		Weights: Weights{TailLatency: 1, Throughput: 1, Evictions: 1},
@@ -142,7 +139,7 @@
 
 // DefaultNodePolicy returns the node policy that applies unless set.
 func DefaultNodePolicy() NodePolicy {
-	return NodePolicy{ControlBytesPerSecond: 2 << 10, ProbeEvery: time.Second}
+	return NodePolicy{}
 }
 
 // PolicyAt returns the policy of the nearest branch at or above p.
