--- a/settings/view.go
+++ b/settings/view.go
@@ -82,7 +82,7 @@
 	RetryBackoff    time.Duration
 	RetryBudget     float64 // retries per second and team
 	MoveRate        float64 // moves a second while a failure domain drains
-	QuarantineAfter int // failures of different jobs on a worker
+	QuarantineAfter int     // failures of different jobs on a worker
 }
 
 // Weights says what a deployment values; members are relative to each other.
