--- a/cmd/peridotlock-scheduler/main.go
+++ b/cmd/peridotlock-scheduler/main.go
@@ -2,17 +2,8 @@
 package main
 
 import (
-	"context"
-	"os"
-	"os/signal"
-	"syscall"
-
+	"github.com/peridotlock/peridotlock/daemon"
 	"github.com/peridotlock/peridotlock/daemon/scheduler"
 )
 
-func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	code := scheduler.Run(ctx, os.Args[1:], os.Stdout, os.Stderr)
-	stop()
-	os.Exit(code)
-}
+func main() { daemon.Main(scheduler.Run) }
--- a/cmd/peridotlock-standin/main.go
+++ b/cmd/peridotlock-standin/main.go
@@ -2,17 +2,8 @@
 package main
 
 import (
-	"context"
-	"os"
-	"os/signal"
-	"syscall"
-
+	"github.com/peridotlock/peridotlock/daemon"
 	"github.com/peridotlock/peridotlock/daemon/standin"
 )
 
-func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	code := standin.Run(ctx, os.Args[1:], os.Stdout, os.Stderr)
-	stop()
-	os.Exit(code)
-}
+func main() { daemon.Main(standin.Run) }
--- a/queue/owner/service.go
+++ b/queue/owner/service.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"errors"
-	"sync"
 
 	"github.com/peridotlock/peridotlock/fleet"
+	"github.com/peridotlock/peridotlock/ownership"
 	"github.com/peridotlock/peridotlock/platform"
 	"github.com/peridotlock/peridotlock/queue"
 )
@@ -13,37 +13,27 @@
 // Service runs the queues that the process owns and serves them over net/rpc
 // under queue.ServiceName.
 type Service struct {
-	opts Options
-
-	mu     sync.RWMutex // protects owners
-	owners map[fleet.Path]*Owner
+	opts   Options
+	owners *ownership.Registry[Owner]
 }
 
 // NewService returns a service without queues.
 func NewService(opts Options) *Service {
-	return &Service{opts: opts, owners: make(map[fleet.Path]*Owner)}
+	return &Service{opts: opts, owners: ownership.NewRegistry[Owner]()}
 }
 
 // Run owns the queue of the team at path under term until ctx ends.
 func (s *Service) Run(ctx context.Context, path fleet.Path, term platform.Offset) {
 	o := newOwner(s.opts, path, term)
-	s.mu.Lock()
-	s.owners[path] = o
-	s.mu.Unlock()
+	s.owners.Put(path, o)
+	defer s.owners.Drop(path, o)
 	o.run(ctx)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.owners[path] == o {
-		delete(s.owners, path)
-	}
 	s.opts.Log.Info("queue released", "queue", path, "term", term)
 }
 
 func (s *Service) owner(path fleet.Path) (*Owner, queue.Code) {
-	s.mu.RLock()
-	defer s.mu.RUnlock()
-	o, ok := s.owners[path]
-	if !ok {
+	o := s.owners.Get(path)
+	if o == nil {
 		return nil, queue.NotOwner
 	}
 	if !o.isReady() {
