Tell unknown flags and bad values together; place the findings of a node's file

Before, an unknown flag hid bad values of other flags, and findings about a node's file had no line. The new cases in the tests failed before the change.

--- a/config/config.go
+++ b/config/config.go
@@ -51,10 +51,30 @@
 	if err := dec.Decode(&n); err != nil {
 		found = finding.FromYAML(file, err)
 	}
-	found = append(found, n.check(file)...)
+	found = append(found, placed(n.check(file), data)...)
 	return n, found.Err()
 }
 
+// placed adds the line and column of the key that each finding is about.
+func placed(found finding.List, data []byte) finding.List {
+	var doc yaml.Node
+	if yaml.Unmarshal(data, &doc) != nil || len(doc.Content) == 0 {
+		return found
+	}
+	root := doc.Content[0]
+	for i := range found {
+		found[i].Line = root.Line
+		found[i].Column = root.Column
+		for k := 0; k+1 < len(root.Content); k += 2 {
+			if root.Content[k].Value == found[i].Path {
+				found[i].Line = root.Content[k+1].Line
+				found[i].Column = root.Content[k+1].Column
+			}
+		}
+	}
+	return found
+}
+
 func (n Node) check(file string) finding.List {
 	var found finding.List
 	add := func(path, format string, args ...any) {
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -34,7 +34,9 @@
 		paths := make(map[string]bool)
 		for _, f := range found {
 			paths[f.Path] = true
+			So(f.Line, ShouldBeGreaterThan, 0)
 		}
+		So(found.Error(), ShouldContainSubstring, `node.yaml:2:10: callers: "localhost:80" is not an IP number and port`)
 		for _, p := range []string{"failure-domain", "callers", "entry-operators", "control", "operators", "trace-share", "log", "vms"} {
 			So(paths, ShouldContainKey, p)
 		}
--- a/daemon/ctl/ctl.go
+++ b/daemon/ctl/ctl.go
@@ -66,18 +66,18 @@
 		fmt.Fprintln(stderr, err)
 		return ExitBadInput
 	}
-	if found := unknownFlags(parser, args); len(found) > 0 {
-		return report(stderr, outputOf(args), found)
-	}
-	parsed, err := parser.Parse(args)
+	found, known := unknownFlags(parser, args)
+	parsed, err := parser.Parse(known)
 	if helped {
 		return ExitOK
 	}
+	if err != nil && len(found) == 0 {
+		found.Addf("", "%v; see peridotctl --help", err)
+	}
 	if err != nil {
-		found := finding.List{{Message: err.Error() + "; see peridotctl --help"}}
 		return report(stderr, outputOf(args), found)
 	}
-	found := c.check()
+	found = append(found, c.check()...)
 	if command, ok := parsed.Selected().Target.Addr().Interface().(checked); ok {
 		found = append(found, command.check()...)
 	}
--- a/daemon/ctl/ctl_test.go
+++ b/daemon/ctl/ctl_test.go
@@ -241,6 +241,12 @@
 		So(code, ShouldEqual, ExitBadInput)
 		So(out.String(), ShouldEqual, "--sever: unknown flag\n--ouput: unknown flag\n")
 	})
+	Convey("Unknown flags and bad values are told together", t, func() {
+		var out bytes.Buffer
+		code := Run(t.Context(), []string{"--server", "nohost", "--bogus", "--output", "xml", "status"}, &out, &out)
+		So(code, ShouldEqual, ExitBadInput)
+		So(out.String(), ShouldEqual, "--bogus: unknown flag\n--server: \"nohost\" is not an IP number and port\n--output: \"xml\" is neither text nor json\n")
+	})
 	Convey("A server that is gone is told from a refusal", t, func() {
 		var out bytes.Buffer
 		code := Run(t.Context(), []string{"--server", "127.0.0.1:1", "--output", "json", "failure-domain", "take-out", "a"}, &out, &out)
--- a/daemon/ctl/flag.go
+++ b/daemon/ctl/flag.go
@@ -37,26 +37,24 @@
 	return found
 }
 
-// unknownFlags returns a finding for each flag that no command has; the parser
-// by itself stops at the first.
-func unknownFlags(parser *kong.Kong, args []string) finding.List {
+// unknownFlags returns a finding for each flag that no command has, and the
+// arguments without these; the parser by itself stops at the first.
+func unknownFlags(parser *kong.Kong, args []string) (found finding.List, rest []string) {
 	known := map[string]bool{}
 	collectFlags(parser.Model.Node, known)
-	var found finding.List
-	for _, a := range args {
+	for i, a := range args {
 		if a == "--" {
-			break
-		}
-		name, ok := strings.CutPrefix(a, "--")
-		if !ok {
-			continue
+			return found, append(rest, args[i:]...)
 		}
+		name, isFlag := strings.CutPrefix(a, "--")
 		name, _, _ = strings.Cut(name, "=")
-		if !known[name] {
+		if isFlag && !known[name] {
 			found.Addf("--"+name, "unknown flag")
+			continue
 		}
+		rest = append(rest, a)
 	}
-	return found
+	return found, rest
 }
 
 func collectFlags(n *kong.Node, known map[string]bool) {
