Keep the script harness in test files

Cause: package scenario starts processes and was built with the product. Change: its files are test files; the package has its documentation only.

--- a/scenario/scenario.go
+++ b/scenario/commands_test.go
@@ -1,5 +1,3 @@
-// Package scenario adds commands for daemons, faults and ledgers to scripts of
-// the testscript language.
 package scenario
 
 import (
