Hold the demo to the 3 s after a take-out; test its verdict

Cause: the demo allowed starts in the failure domain for 5 s where the target is 3 s, and nothing showed that it fails when something was lost or doubled. Change: the bound of the target; TestVerdict.

--- a/demo/report.go
+++ b/demo/report.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	startAllowance = 5 * time.Second // after a take-out, until nothing starts there
+	startAllowance = 3 * time.Second // after a take-out, until nothing starts there
 	reportLag      = 5 * time.Second // of the state of jobs
 	maxDetails     = 5               // faults told in words
 )
--- /dev/null
+++ b/demo/report_test.go
@@ -0,0 +1,30 @@
+package demo
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/peridotlock/peridotlock/standin/caller"
+	"github.com/peridotlock/peridotlock/standin/ledger"
+)
+
+func TestVerdict(t *testing.T) {
+	Convey("A run is sound only if nothing was lost, doubled or misreported", t, func() {
+		So(verdict{}.isSound(), ShouldBeTrue)
+		faults := []verdict{
+			{requests: caller.Summary{Lost: 1}},
+			{requests: caller.Summary{Doubled: 1}},
+			{requests: caller.Summary{Misreported: 1}},
+			{requests: caller.Summary{Watches: 1}},
+			{ledger: ledger.Summary{Violations: []ledger.Violation{{Kind: ledger.DoubleRun}}}},
+			{unfinished: []string{"a"}},
+			{misreports: []string{"a"}},
+			{lateStarts: make([]ledger.Run, 1)},
+			{failures: []string{"a"}},
+		}
+		for _, v := range faults {
+			So(v.isSound(), ShouldBeFalse)
+		}
+	})
+}
