Keep the runs that a restarted executor lists

What callers saw: a task ran twice at the same time on one executor (TWICE); its first run was stopped a few milliseconds after its start. Cause: an executor restarts under its ID and accepts a start before its first report. The report shows the restart, and the owner marked all runs it knew there as lost, also those that the report lists. These were then not expected, were stopped, and their tasks started again at once, while the stops took their time. Class: what is known of an executor is not tied to the instance it is known of; and a task is started while a run of it is known to exist. A listed run that is not expected is adopted if it is the newest of a waiting task, else it is stopped, and its task neither starts nor is lent before that run has ended.

--- /dev/null
+++ b/dispatch/stray.go
@@ -0,0 +1,74 @@
+package dispatch
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/peridotlock/peridotlock/fleet"
+	"github.com/peridotlock/peridotlock/provider"
+)
+
+// A stray is a run that an executor lists and this owner does not expect there, for example
+// since it was given up too early, or since its start was carried out late. Its task must not
+// run twice, so a stray is either adopted or stopped, and its task is not started again
+// before a report shows that it has ended.
+
+// adopt makes a listed run the current run of its task. It returns nil if the task has a
+// newer run or must not run.
+func (c *Core) adopt(e *executor, status provider.RunStatus, now time.Duration) *run {
+	t := c.findTask(status.Task)
+	if t == nil || t.phase != taskPending || t.runNumber != status.Run || !t.step.released || t.step.job.state.IsFinal() ||
+		t.step.job.handingOver || t.step.spec.Gang || t.isStray() || e.runs[status.Task] != nil {
+		return nil
+	}
+	r := &run{task: t, taskName: status.Task, number: status.Run, executor: e, state: runRunning, startedAt: now, pace: 1, desiredPace: 1}
+	t.stopWaiting()
+	t.run = r
+	t.phase = taskPlaced
+	e.add(r)
+	c.markDirty(t.step.job)
+	c.addEvent("adopt", r, "listed by its executor", 0)
+	return r
+}
+
+// stopStray orders the stop of a stray. Until it has ended, it takes capacity.
+func (c *Core) stopStray(e *executor, status provider.RunStatus) {
+	if t := c.findTask(status.Task); t != nil {
+		e.unexpected = e.unexpected.Add(reservation(t.step.spec))
+		e.strays = append(e.strays, t)
+		t.strays++
+	} else {
+		e.hasUnknownRun = true
+	}
+	c.orders = append(c.orders, Order{
+		Kind:     OrderStop,
+		Executor: e.info,
+		Ref:      provider.RunRef{Task: status.Task, Run: status.Run, FencingToken: e.fencingToken},
+	})
+	c.events = append(c.events, Event{Kind: "stray", Task: status.Task, Run: status.Run, Executor: e.info.ID, Detail: c.describeExpected(status.Task)})
+}
+
+// clearStrays forgets the strays of an executor: it is about to list them again, or they
+// can't be running any more.
+func (e *executor) clearStrays() {
+	for _, t := range e.strays {
+		t.strays--
+	}
+	e.strays = nil
+	e.unexpected, e.hasUnknownRun = fleet.Resources{}, false
+}
+
+// isStray reports whether an executor lists a stray of the task.
+func (t *task) isStray() bool { return t.strays > 0 }
+
+// describeExpected says for the log which run of a task this owner expects.
+func (c *Core) describeExpected(task string) string {
+	t := c.findTask(task)
+	switch {
+	case t == nil:
+		return "unknown task"
+	case t.run != nil:
+		return fmt.Sprintf("run %d is expected on %s", t.run.number, t.run.executor.info.ID)
+	}
+	return fmt.Sprintf("no run is expected, the newest is %d", t.runNumber)
+}
