--- a/dispatch/crashwait_test.go
+++ b/dispatch/crashwait_test.go
@@ -31,6 +31,7 @@
 	reachable map[*fakeExecutor]reachability
 	core      *Core
 	termStart time.Duration
+	onLost    func(t *watchedTask) // called when a run was lost with its executor; may be nil
 
 	lost        int           // runs lost with their executors
 	lostWait    time.Duration // sum over lost batch tasks, from when the owner can know of the loss
@@ -50,6 +51,7 @@
 	spec     *submission.Step
 	executor *fakeExecutor // of its newest run; nil before the first
 	instance int64         // of that executor
+	number   int           // of that run
 	running  bool
 	lost     bool // its executor has crashed since
 	lostAt   time.Duration
@@ -145,6 +147,9 @@
 		if t.executor.instance != t.instance || !t.executor.up {
 			t.lost, t.lostAt = true, c.sim.now
 			c.lost++
+			if c.onLost != nil {
+				c.onLost(t)
+			}
 		}
 	}
 	if t.core != c.sim.core || t.owned == nil {
@@ -155,10 +160,13 @@
 	}
 	for _, e := range c.sim.executors {
 		if e.up && e.runs[t.name] != nil {
-			t.executor, t.instance, t.running, t.lost = e, e.instance, true, false
+			t.executor, t.instance, t.number, t.running, t.lost = e, e.instance, e.runs[t.name].number, true, false
 			return false
 		}
 	}
+	if r := t.owned.run; r != nil && r.number > t.number && r.state == runUnanswered {
+		return false // the start may have taken effect
+	}
 	return t.owned.phase == taskPending ||
 		t.lost && (c.isReplaced(t) || c.sim.now > max(t.lostAt, c.termStart)+longestUnknownLoss)
 }
@@ -255,5 +263,6 @@
 			out = append(out, id)
 		}
 	}
+	slices.Sort(out)
 	return out
 }
