--- /dev/null
+++ b/dispatch/earlierinstance_test.go
@@ -0,0 +1,48 @@
+package dispatch
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/peridotlock/peridotlock/provider"
+)
+
+// answerLate lets an executor receive and answer a heartbeat that was sent before.
+func (sim *simulation) answerLate(e *fakeExecutor, request provider.HeartbeatRequest, sent time.Duration) {
+	e.fencingToken = max(e.fencingToken, request.FencingToken)
+	e.grant(request.LeaseUntil, sim.now)
+	sim.dropAckedEnds(e, request.AckedEnd)
+	report := provider.HeartbeatReport{Clock: e.clock(sim.now), StartTimeMs: e.instance, Ended: slices.Clone(e.ends)}
+	for _, r := range e.allRuns() {
+		report.Running = append(report.Running, provider.RunStatus{Task: r.task, Run: r.number})
+	}
+	sim.core.HandleHeartbeatReport(e.id, request, report, sent, sim.now)
+}
+
+// TestAcknowledgementReachesNewInstance guards against a task that runs again after it is done.
+func TestAcknowledgementReachesNewInstance(t *testing.T) {
+	Convey("Given an executor that restarts before it receives a heartbeat", t, func() {
+		sim := newSimulation(1, 1)
+		e := sim.executors[0]
+		sim.submit(idA, newSubmission(tasks(4, 100*time.Millisecond)))
+		sim.run(10 * time.Second)
+		So(sim.publishedStates[idA].IsFinal(), ShouldBeTrue)
+		request, sent := sim.core.Heartbeat(e.id, sim.now), sim.now
+		e.nextHeartbeatAt = sim.now + 2*time.Second
+		e.crash()
+		e.start(sim.now, true)
+
+		Convey("an end of the new instance is not acknowledged by it", func() {
+			sim.submit(idB, newSubmission(tasks(1, 100*time.Millisecond)))
+			So(sim.runUntil(time.Second, func() bool { return len(e.ends) == 1 }), ShouldBeTrue)
+			sim.answerLate(e, request, sent)
+			sim.run(5 * time.Second)
+			So(sim.violations, ShouldBeEmpty)
+			So(sim.publishedStates[idB].IsFinal(), ShouldBeTrue)
+			So(sim.starts, ShouldEqual, 5)
+		})
+	})
+}
