--- a/dispatch/earlierinstance_test.go
+++ b/dispatch/earlierinstance_test.go
@@ -46,3 +46,33 @@
 		})
 	})
 }
+// TestLateEndOfReplannedTask guards against a start after a task is done.
+func TestLateEndOfReplannedTask(t *testing.T) {
+	Convey("Given a task whose next run is planned while its given-up run completes it", t, func() {
+		sim := newSimulation(3, 1)
+		sim.run(2 * time.Second)
+		sim.submit(idA, newSubmission(tasks(1, time.Second)))
+		name := idA + ".0.0.0"
+		var e *fakeExecutor
+		So(sim.runUntil(time.Second, func() bool {
+			for _, other := range sim.executors {
+				if other.runs[name] != nil {
+					e = other
+				}
+			}
+			return e != nil
+		}), ShouldBeTrue)
+		e.nextHeartbeatAt = sim.now + 10*time.Second
+		So(sim.runUntil(2*time.Second, func() bool { return sim.completed[name] }), ShouldBeTrue)
+		sim.storeLatency = 400 * time.Millisecond
+		sim.core.markLost(sim.core.findTask(name).run, "test", sim.now)
+		sim.run(100 * time.Millisecond)
+		So(sim.core.findTask(name).run, ShouldNotBeNil)
+		e.nextHeartbeatAt = sim.now
+		sim.run(5 * time.Second)
+		So(sim.violations, ShouldBeEmpty)
+		So(sim.starts, ShouldEqual, 1)
+		So(sim.publishedStates[idA].IsFinal(), ShouldBeTrue)
+	})
+}
+
