--- a/dispatch/earlierinstance_test.go
+++ b/dispatch/earlierinstance_test.go
@@ -76,3 +76,29 @@
 	})
 }
 
+// TestStopOfEarlierInstance guards against a cancelled task that runs on.
+func TestStopOfEarlierInstance(t *testing.T) {
+	Convey("Given a stop that an executor answered before it restarted and carried out the start", t, func() {
+		sim := newSimulation(1, 1)
+		e := sim.executors[0]
+		sim.run(2 * time.Second)
+		sim.submit(idA, newSubmission(longRunning(1)))
+		sim.lossRate = 1
+		sim.callTimeout = simulationCallTimeout
+		So(sim.runUntil(time.Second, func() bool { return len(sim.openCalls) == 1 }), ShouldBeTrue)
+		sim.lossRate = 0
+		sim.executionDelay = func() time.Duration { return 0 }
+		call := sim.openCalls[0]
+		call.receivableAt = sim.now + 200*time.Millisecond
+		sim.takeOver()
+		e.nextHeartbeatAt = sim.now + 400*time.Millisecond
+		sim.cancel(idA)
+		sim.run(100 * time.Millisecond)
+		e.crash()
+		e.start(sim.now, true)
+		sim.run(5 * time.Second)
+		So(sim.starts, ShouldEqual, 1)
+		So(len(e.allRuns()), ShouldEqual, 0)
+	})
+}
+
