Record where a stray is, so that a new owner waits for it

What callers saw: nothing yet; a task could run twice at the same time. Cause: a task whose stray is known does not start, but only its owner knows of the stray. A new owner restored the task without a run and started it while the executor with the stray could not be reached. Change: the progress record of such a task names the executor of the stray. The new owner restores it like a run of an earlier owner: the task waits for a report of that executor or the end of its lease. The format of the record is unchanged. Result: TestStrayAtChangeOfOwner failed before (run 3 starts on i-1 while run 1 is running on i-0) and passes.

--- a/dispatch/earlierinstance_test.go
+++ b/dispatch/earlierinstance_test.go
@@ -46,6 +46,7 @@
 		})
 	})
 }
+
 // TestLateEndOfReplannedTask guards against a start after a task is done.
 func TestLateEndOfReplannedTask(t *testing.T) {
 	Convey("Given a task whose next run is planned while its given-up run completes it", t, func() {
@@ -102,3 +103,36 @@
 	})
 }
 
+// TestStrayAtChangeOfOwner guards against a task that runs twice.
+func TestStrayAtChangeOfOwner(t *testing.T) {
+	Convey("Given a task that waits for the end of its older run", t, func() {
+		sim := newSimulation(3, 1)
+		sim.run(2 * time.Second)
+		sim.submit(idA, newSubmission(tasks(1, 5*time.Second)))
+		name := idA + ".0.0.0"
+		var e *fakeExecutor
+		So(sim.runUntil(time.Second, func() bool {
+			for _, other := range sim.executors {
+				if other.runs[name] != nil {
+					e = other
+				}
+			}
+			return e != nil
+		}), ShouldBeTrue)
+		waiting := sim.core.findTask(name)
+		e.nextHeartbeatAt = sim.now + 2*simulationStep
+		sim.storeAway = true
+		waiting.runNumber++
+		sim.core.markLost(waiting.run, "test", sim.now)
+		sim.run(2 * simulationStep)
+		So(waiting.isStray(), ShouldBeTrue)
+		sim.storeAway = false
+		sim.lossRate = 1 // the stop is lost
+		sim.run(simulationStep)
+		sim.lossRate = 0
+		e.partitioned = true
+		sim.takeOver()
+		sim.run(3 * time.Second)
+		So(sim.violations, ShouldBeEmpty)
+	})
+}
--- a/dispatch/stray.go
+++ b/dispatch/stray.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/peridotlock/peridotlock/fleet"
@@ -36,7 +37,10 @@
 	if t := c.findTask(status.Task); t != nil {
 		e.unexpected = e.unexpected.Add(reservation(t.step.spec))
 		e.strays = append(e.strays, t)
-		t.strays++
+		t.strays = append(t.strays, e)
+		if t.phase == taskPending {
+			c.markDirty(t.step.job)
+		}
 	} else {
 		e.hasUnknownRun = true
 	}
@@ -52,14 +56,14 @@
 // can't be running any more.
 func (e *executor) clearStrays() {
 	for _, t := range e.strays {
-		t.strays--
+		t.strays = slices.DeleteFunc(t.strays, func(other *executor) bool { return other == e })
 	}
 	e.strays = nil
 	e.unexpected, e.hasUnknownRun = fleet.Resources{}, false
 }
 
 // isStray reports whether an executor lists a stray of the task.
-func (t *task) isStray() bool { return t.strays > 0 }
+func (t *task) isStray() bool { return len(t.strays) > 0 }
 
 // describeExpected says for the log which run of a task this owner expects.
 func (c *Core) describeExpected(task string) string {
