--- a/dispatch/earlierinstance_test.go
+++ b/dispatch/earlierinstance_test.go
@@ -7,6 +7,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/peridotlock/peridotlock/policy"
 	"github.com/peridotlock/peridotlock/provider"
 )
 
@@ -136,3 +137,23 @@
 		So(sim.violations, ShouldBeEmpty)
 	})
 }
+
+// TestAdviceOnEarlierInstance guards against a refusal that is applied to an instance it does
+// not name.
+func TestAdviceOnEarlierInstance(t *testing.T) {
+	Convey("Given an executor that restarts while the advice service is asked", t, func() {
+		sim := newSimulation(1, 1)
+		e := sim.executors[0]
+		sim.config = policy.New(1, []policy.Queue{{Name: "q", Service: "s", MaxAttempts: 3, Advised: true}}, []policy.Service{{Name: "s", RejectsOverload: true}})
+		sim.takeOver()
+		sim.advisor = &fakeAdvisor{}
+		sim.run(2 * time.Second)
+		sim.submit(idA, newSubmission(tasks(1, time.Second)))
+		So(sim.runUntil(time.Second, func() bool { return len(sim.advisor.pending) == 1 }), ShouldBeTrue)
+		e.crash()
+		e.start(sim.now, true)
+		So(sim.runUntil(time.Second, func() bool { return len(sim.advisor.pending) == 0 }), ShouldBeTrue)
+		sim.advisor.allowed = []provider.ExecutorID{e.id}
+		So(sim.runUntil(5*time.Second, func() bool { return sim.publishedStates[idA].IsFinal() }), ShouldBeTrue)
+	})
+}
