Set the pace of best-effort runs that were started by an earlier owner

What callers saw: nothing yet; a best-effort task could stay paced down, to 0 at worst, until its end. Cause: a restored or adopted run was taken to run at its full pace. If it had been paced down, the owner sent no order while it wanted the full pace. Change: the pace of such a run is sent once the run is confirmed, also if it is the full one. Result: TestPaceOfRestoredRun failed before (no order within a second) and passes.

--- a/dispatch/earlierinstance_test.go
+++ b/dispatch/earlierinstance_test.go
@@ -157,3 +157,36 @@
 		So(sim.runUntil(5*time.Second, func() bool { return sim.publishedStates[idA].IsFinal() }), ShouldBeTrue)
 	})
 }
+
+// TestPaceOfRestoredRun guards against a best-effort task that stays paced down after a change of
+// owner.
+func TestPaceOfRestoredRun(t *testing.T) {
+	Convey("Given a run that the previous owner has paced down", t, func() {
+		sim := newSimulation(1, 1)
+		e := sim.executors[0]
+		sim.run(2 * time.Second)
+		step := tasks(1, time.Minute)
+		step.BestEffort, step.Image = true, "x"
+		sim.submit(idA, newSubmission(step))
+		name := idA + ".0.0.0"
+		So(sim.runUntil(time.Second, func() bool { return e.runs[name] != nil }), ShouldBeTrue)
+		r := sim.core.findTask(name).run
+		r.desiredPace = 0
+		e.nextHeartbeatAt = sim.now + time.Second
+		sim.run(2 * simulationStep)
+		So(r.pace, ShouldEqual, 0)
+		sim.takeOver()
+		paced := false
+		for range 40 {
+			sim.now += simulationStep
+			sim.core.Tick(sim.now)
+			sim.updateListing(e)
+			sim.heartbeat(e)
+			for _, o := range sim.core.Orders(sim.now) {
+				paced = paced || o.Kind == OrderPace && o.Percent == 100 && o.Ref.Task == name
+				sim.deliver(o)
+			}
+		}
+		So(paced, ShouldBeTrue)
+	})
+}
--- a/dispatch/stray.go
+++ b/dispatch/stray.go
@@ -22,7 +22,7 @@
 		t.step.job.handingOver || t.step.spec.Gang || t.isStray() || e.runs[status.Task] != nil {
 		return nil
 	}
-	r := &run{task: t, taskName: status.Task, number: status.Run, executor: e, state: runRunning, startedAt: now, pace: 1, desiredPace: 1}
+	r := &run{task: t, taskName: status.Task, number: status.Run, executor: e, state: runRunning, startedAt: now, pace: 1, desiredPace: 1, paceUncertain: t.step.spec.BestEffort}
 	t.stopWaiting()
 	t.run = r
 	t.phase = taskPlaced
