--- a/dispatch/earlierinstance_test.go
+++ b/dispatch/earlierinstance_test.go
@@ -190,3 +190,40 @@
 		So(paced, ShouldBeTrue)
 	})
 }
+
+// TestOvertakenReport guards against an earlier instance that is taken for a newer one, and
+// against a run that is adopted after it has ended.
+func TestOvertakenReport(t *testing.T) {
+	Convey("Given a report that is overtaken by a newer one", t, func() {
+		sim := newSimulation(2, 1)
+		e := sim.executors[0]
+		sim.executors[1].draining = true
+		sim.run(2 * time.Second)
+		sim.submit(idA, newSubmission(longRunning(1)))
+		name := idA + ".0.0.0"
+		So(sim.runUntil(time.Second, func() bool { return e.runs[name] != nil }), ShouldBeTrue)
+		sim.run(time.Second)
+		request, sent := sim.core.Heartbeat(e.id, sim.now), sim.now
+		report := provider.HeartbeatReport{Clock: e.clock(sim.now), StartTimeMs: e.instance,
+			Running: []provider.RunStatus{{Task: name, Run: 1}}}
+
+		Convey("one of an earlier instance is ignored", func() {
+			e.crash()
+			e.start(sim.now, true)
+			sim.run(simulationStep)
+			e.nextHeartbeatAt, sim.storeAway = sim.now, true
+			sim.run(simulationStep)
+			sim.core.HandleHeartbeatReport(e.id, request, report, sent, sim.now)
+			So(sim.core.findTask(name).run, ShouldBeNil)
+			So(sim.core.executors[e.id].instance, ShouldEqual, e.instance)
+		})
+		Convey("one of the same instance is ignored", func() {
+			e.end(e.runs[name], provider.RunFailed, sim.now)
+			e.nextHeartbeatAt, sim.storeAway = sim.now, true
+			sim.run(simulationStep)
+			So(sim.core.findTask(name).run, ShouldBeNil)
+			sim.core.HandleHeartbeatReport(e.id, request, report, sent, sim.now)
+			So(sim.core.findTask(name).run, ShouldBeNil)
+		})
+	})
+}
