--- a/dispatch/earlierinstance_test.go
+++ b/dispatch/earlierinstance_test.go
@@ -227,3 +227,27 @@
 		})
 	})
 }
+
+// TestLeaseOfOvertakenHeartbeat guards against a task that runs twice.
+func TestLeaseOfOvertakenHeartbeat(t *testing.T) {
+	Convey("Given a heartbeat that a new instance receives after its first report", t, func() {
+		sim := newSimulation(2, 1)
+		victim, other := sim.executors[0], sim.executors[1]
+		sim.run(30 * time.Second)
+		other.draining = true
+		sim.run(simulationStep)
+		request, sent := sim.core.Heartbeat(victim.id, sim.now), sim.now
+		victim.crash()
+		victim.start(sim.now, true)
+		victim.nextHeartbeatAt = sim.now
+		sim.run(time.Second)
+		sim.answerLate(victim, request, sent)
+		sim.submit(idA, newSubmission(tasks(1, 2*maxLease)))
+		So(sim.runUntil(time.Second, func() bool { return len(victim.runs) == 1 }), ShouldBeTrue)
+		victim.partitioned = true
+		other.draining = false
+		sim.run(2 * maxLease)
+		So(sim.violations, ShouldBeEmpty)
+		So(sim.starts, ShouldEqual, 2)
+	})
+}
