--- a/dispatch/earlierinstance_test.go
+++ b/dispatch/earlierinstance_test.go
@@ -251,3 +251,28 @@
 		So(sim.starts, ShouldEqual, 2)
 	})
 }
+
+// TestLeaseOfUnansweredStart guards against a task that runs twice.
+func TestLeaseOfUnansweredStart(t *testing.T) {
+	Convey("Given a start without an answer that a new instance has received", t, func() {
+		sim := newSimulation(2, 1)
+		victim, other := sim.executors[0], sim.executors[1]
+		sim.run(30 * time.Second)
+		other.draining = true
+		sim.run(simulationStep)
+		victim.crash()
+		victim.start(sim.now, true)
+		victim.nextHeartbeatAt = sim.now + time.Second
+		sim.lossRate = 1
+		sim.executionDelay = func() time.Duration { return 0 }
+		sim.callTimeout = 400 * time.Millisecond
+		sim.submit(idA, newSubmission(tasks(1, maxLease-time.Second)))
+		So(sim.runUntil(time.Second, func() bool { return len(victim.runs) == 1 }), ShouldBeTrue)
+		victim.partitioned = true
+		other.draining = false
+		sim.lossRate = 0
+		sim.run(2 * maxLease)
+		So(sim.violations, ShouldBeEmpty)
+		So(sim.starts, ShouldEqual, 2)
+	})
+}
