--- a/experiment/worker_crash_test.go
+++ b/experiment/worker_crash_test.go
@@ -20,14 +20,17 @@
 	crashStep       = 250 * time.Millisecond
 	crashingPrefix  = "crashing" // of the idempotency keys of jobs whose tasks crash their workers
 	maxTaskCrashes  = 10         // by one task until it is given up
+	maxMeanCrashes  = 5          // by a task until it is given up, mean of all
 	crashRunTime    = 15 * time.Minute
 	crashDrainAfter = 5 * time.Minute // no more losses from then on
 )
 
-// workerLoss is a loss of workers that no task caused.
+// workerLoss is a loss of workers that no task caused. A worker that is only cut off
+// goes on with its runs while their leases last.
 type workerLoss struct {
 	at, down time.Duration
 	vms      []string
+	cut      bool
 }
 
 // crashFleet is a fleet in virtual time whose workers crash: all runs of a crashed
@@ -86,6 +89,10 @@
 		for _, loss := range f.losses {
 			if loss.at <= at && at < loss.at+crashStep {
 				for _, vm := range loss.vms {
+					if loss.cut {
+						f.downUntil[vm] = now.Add(loss.down)
+						continue
+					}
 					f.crash(vm, now, loss.down)
 				}
 			}
@@ -127,6 +134,14 @@
 	f.downUntil[vm] = now.Add(down)
 }
 
+func (f *crashFleet) totalCrashes() int {
+	sum := 0
+	for _, n := range f.crashes {
+		sum += n
+	}
+	return sum
+}
+
 // check returns what is wrong at the end of the run.
 func (f *crashFleet) check() []string {
 	var out []string
@@ -163,6 +178,23 @@
 		for _, line := range f.check() {
 			t.Errorf("crash after %v: %s", after, line)
 		}
+		if n := f.totalCrashes(); n > 4 {
+			t.Errorf("crash after %v: %d workers crashed, want one beside others and 3 without", after, n)
+		}
+	}
+}
+
+// TestTaskThatCrashesWorkersOfFullFleet replays a crashing task for which no worker is
+// ever empty, as all others run long.
+func TestTaskThatCrashesWorkersOfFullFleet(t *testing.T) {
+	f := newCrashFleet(1, 4)
+	f.submit("innocent", 14, 12*time.Minute, 0)
+	f.submit(crashingPrefix, 1, time.Minute, crashStep)
+	f.submit("innocent-short", 30, 10*time.Second, 0)
+	f.run()
+	t.Logf("workers crashed %v, runs lost by others %v", f.crashes, f.lost)
+	for _, line := range f.check() {
+		t.Error(line)
 	}
 }
 
@@ -178,8 +210,8 @@
 	}
 }
 
-// TestCrashesAndRackLosses checks, with losses of racks and failure domains and with
-// tasks that crash their workers, that just the latter are given up.
+// TestCrashesAndRackLosses checks, with tasks that crash their workers and with repeated
+// losses of racks, failure domains and single workers, that just the former are given up.
 func TestCrashesAndRackLosses(t *testing.T) {
 	plays, innocent, crashing, crashes, lost := 0, 0, 0, 0, 0
 	rapid.Check(t, func(t *rapid.T) {
@@ -198,25 +230,28 @@
 			crashing += n
 			f.submit(fmt.Sprint(crashingPrefix, i), n, time.Minute, max(crashStep, seconds(0, 8, "crash after")))
 		}
-		for range rapid.IntRange(0, 12).Draw(t, "losses") {
-			loss := workerLoss{at: seconds(1, int(crashDrainAfter.Seconds()), "loss"), down: seconds(1, 12, "down")}
+		for range rapid.IntRange(0, 8).Draw(t, "losses") {
+			loss := workerLoss{at: seconds(1, int(crashDrainAfter.Seconds()), "loss"), down: seconds(0, 12, "down")}
 			vm := f.vms[rapid.IntRange(0, len(f.vms)-1).Draw(t, "lost")]
-			domain := rapid.Bool().Draw(t, "domain")
+			extent := rapid.SampledFrom([]string{"rack", "domain", "worker", "cut"}).Draw(t, "extent")
+			loss.cut = extent == "cut"
 			for _, other := range f.vms {
-				if other.Rack == vm.Rack || (domain && other.FailureDomain == vm.FailureDomain) {
+				if other.ID == vm.ID || (extent == "rack" && other.Rack == vm.Rack) || (extent == "domain" && other.FailureDomain == vm.FailureDomain) {
 					loss.vms = append(loss.vms, other.ID)
 				}
 			}
-			f.losses = append(f.losses, loss)
+			period := seconds(2, 20, "period")
+			for range rapid.IntRange(1, 6).Draw(t, "repeats") {
+				f.losses = append(f.losses, loss)
+				loss.at += period
+			}
 		}
 		for range rapid.IntRange(0, 2).Draw(t, "takeovers") {
 			f.takeovers = append(f.takeovers, seconds(1, int(crashDrainAfter.Seconds()), "takeover"))
 		}
 		f.run()
 		plays++
-		for _, n := range f.crashes {
-			crashes += n
-		}
+		crashes += f.totalCrashes()
 		for _, n := range f.lost {
 			lost += n
 		}
@@ -225,4 +260,7 @@
 		}
 	})
 	t.Logf("%d plays: %d crashing tasks crashed %d workers; %d innocent tasks lost %d runs", plays, crashing, crashes, innocent, lost)
+	if crashes > maxMeanCrashes*crashing {
+		t.Errorf("%d tasks crashed %d workers, want %d each at most in the mean", crashing, crashes, maxMeanCrashes)
+	}
 }
