--- a/dispatch/suspicion.go
+++ b/dispatch/suspicion.go
@@ -21,7 +21,7 @@
 // giveUpSuspicion is the suspicion above which a task is given up, by the number of
 // executors that have crashed under it. The more there are, the less doubt is worth another
 // one. The platform allows no third start after three crashes.
-var giveUpSuspicion = []float64{2: 0.99, 3: 0.98, 4: 0.9, 5: 0.05}
+var giveUpSuspicion = []float64{2: 0.99, 3: 0.99, 4: 0.98, 5: 0.05}
 
 // crashTimes is the distribution of the time from the start of a task that crashes its
 // executor to the crash, as noticed here: a mixture of exponential distributions.
