--- a/compare/compare_test.go
+++ b/compare/compare_test.go
@@ -248,7 +248,7 @@
 				"failing":    {Failed, "exit status 3: fakebench: too busy"},
 				"unreadable": {NoResult, "report of 10 bytes: unexpected end of JSON input"},
 				"worthless":  {NoResult, "report of 26 bytes has no worth"},
-				"faulty":     {NoResult, "the report tells a fault: a process did not start"},
+				"faulty":     {NoResult, "the report has a fault: a process did not start"},
 			} {
 				p := play(day)
 				So(p.Status, ShouldEqual, want.status)
--- a/compare/days.go
+++ b/compare/days.go
@@ -67,7 +67,7 @@
 type Day struct {
 	Site Site
 	Name string
-	Arg  string // how the bench is told: the name of a standard day or the path of a file
+	Arg  string // argument of the bench: the name of a standard day or the path of a file
 	File bool   // whether it comes from a day file
 }
 
--- a/compare/play.go
+++ b/compare/play.go
@@ -13,7 +13,7 @@
 	"time"
 )
 
-// Status tells how a play ended.
+// Status is how a play ended.
 type Status string
 
 const (
@@ -63,7 +63,7 @@
 }
 
 // Play plays a day with a checkout as the working directory. A day that has no
-// result is told by the status of the play.
+// result has a status that says why.
 func (b Bench) Play(ctx context.Context, checkout string, d Day, seed uint64) Play {
 	p := Play{Site: d.Site.Name, Day: d.Name, File: d.File, Seed: seed}
 	start := time.Now()
@@ -150,7 +150,7 @@
 		return 0, nil, fmt.Errorf("report of %d bytes: %w", len(data), err)
 	}
 	if report.Fault != nil {
-		return 0, nil, fmt.Errorf("the report tells a fault: %v", report.Fault)
+		return 0, nil, fmt.Errorf("the report has a fault: %v", report.Fault)
 	}
 	if report.Worth == nil {
 		return 0, nil, fmt.Errorf("report of %d bytes has no worth", len(data))
--- a/compare/report.go
+++ b/compare/report.go
@@ -176,7 +176,7 @@
 	)
 }
 
-// Complete tells whether all plays of days that fit their site have a result.
+// Complete reports whether all plays of days that fit their site have a result.
 func (r Report) Complete() bool {
 	return !slices.ContainsFunc(r.Plays, func(p Play) bool { return p.Status != Played && p.Status != NotFitting })
 }
