Add a failing test of best-effort work that never starts

Here a step that waits for executors which are all refused, for expected harm, for servers above their targets or for processors that other best-effort tasks use, is not started in 40 s in any of the three loads.

--- /dev/null
+++ b/dispatch/starvation_test.go
@@ -0,0 +1,93 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/peridotlock/peridotlock/colocate"
+	"github.com/peridotlock/peridotlock/fleet"
+	"github.com/peridotlock/peridotlock/submission"
+)
+
+// maxIdleTime is the time after which the platform counts an accepted submission as lost if
+// a task could run, none does, and most of the capacity is free.
+const maxIdleTime = 3 * time.Second
+
+// bestEffortTasks returns a step of best-effort tasks of one image.
+func bestEffortTasks(count int, image string, size fleet.Resources, estimate time.Duration) submission.Step {
+	return submission.Step{Count: count, Size: size, EstimateMs: estimate.Milliseconds(), BestEffort: true, Image: image}
+}
+
+// newServedCell returns a cell of six executors, each with a server that reserves a quarter of it.
+func newServedCell(seed uint64) *simulation {
+	sim := newSimulation(6, seed)
+	servers := longRunning(6)
+	servers.Size = fleet.Resources{MilliCPU: 2000, MemoryMB: 1000}
+	servers.MaxPerExecutor, servers.TargetMs, servers.Image = 1, 100, "web"
+	sim.submit(idA, newSubmission(servers))
+	sim.run(2 * time.Second)
+	return sim
+}
+
+// harmfulModel returns statistics according to which any server suffers beside an image.
+func harmfulModel(image string) colocate.Statistics {
+	return colocate.Statistics{
+		BestEffort: []string{image},
+		Serving: map[string]colocate.ServingStatistics{"web": {
+			UnloadedTail: 0.25, Readings: 1000,
+			Base:    colocate.Estimate{Mean: 0.4, Information: 1000},
+			Effects: []colocate.Estimate{{Mean: 20, Information: 1000}},
+		}},
+		Spread: 0.1,
+	}
+}
+
+// TestBestEffortTaskIsStarved guards against accepted best-effort work that never runs although
+// most of the capacity is free.
+func TestBestEffortTaskIsStarved(t *testing.T) {
+	small := fleet.Resources{MilliCPU: 1000, MemoryMB: 500}
+	for _, load := range []struct {
+		name  string
+		apply func(*simulation)
+	}{
+		{"an image that is expected to harm all servers", func(sim *simulation) {
+			sim.core.SetPeerModel(1, harmfulModel("heavy"))
+		}},
+		{"executors whose servers are all above their targets", func(sim *simulation) {
+			for _, e := range sim.executors {
+				e.hot = true
+			}
+			sim.run(time.Second)
+		}},
+		{"executors whose processors other best-effort tasks use", func(sim *simulation) {
+			sim.submit("00000000000000cc", newSubmission(bestEffortTasks(12, "long", fleet.Resources{MilliCPU: 3400, MemoryMB: 500}, time.Hour)))
+			sim.run(time.Second)
+		}},
+	} {
+		Convey("Given "+load.name, t, func() {
+			for seed := range uint64(4) {
+				sim := newServedCell(seed)
+				load.apply(sim)
+				sim.submit(idB, newSubmission(tasks(1, 100*time.Millisecond), func() submission.Step {
+					s := bestEffortTasks(8, "heavy", small, time.Second)
+					s.DependsOn = []int{0}
+					return s
+				}()))
+				idle, longest := time.Duration(0), time.Duration(0)
+				done := sim.runUntil(40*time.Second, func() bool {
+					idle += simulationStep
+					if sim.running(idB) > 0 {
+						idle = 0
+					}
+					longest = max(longest, idle)
+					return sim.publishedStates[idB] == submission.Completed
+				})
+				So(longest, ShouldBeLessThan, maxIdleTime)
+				So(done, ShouldBeTrue)
+				So(sim.violations, ShouldBeEmpty)
+			}
+		})
+	}
+}
