Let the loads of the starvation test arise before it measures

The statistics of the peer were not applied before the first fit, and the other best-effort tasks did not take all processors.

--- a/dispatch/starvation_test.go
+++ b/dispatch/starvation_test.go
@@ -15,6 +15,10 @@
 // a task could run, none does, and most of the capacity is free.
 const maxIdleTime = 3 * time.Second
 
+// fitTime is the time in which the model of a small cell has enough readings for a fit, which
+// applies the statistics of other models.
+const fitTime = 10 * time.Second
+
 // bestEffortTasks returns a step of best-effort tasks of one image.
 func bestEffortTasks(count int, image string, size fleet.Resources, estimate time.Duration) submission.Step {
 	return submission.Step{Count: count, Size: size, EstimateMs: estimate.Milliseconds(), BestEffort: true, Image: image}
@@ -31,14 +35,19 @@
 	return sim
 }
 
-// harmfulModel returns statistics according to which any server suffers beside an image.
-func harmfulModel(image string) colocate.Statistics {
+// knownEffects returns the statistics of a model that is certain of the effect of
+// best-effort images on servers.
+func knownEffects(effect float32, images ...string) colocate.Statistics {
+	var effects []colocate.Estimate
+	for row := range images {
+		effects = append(effects, colocate.Estimate{Row: row, Mean: effect, Information: 1000})
+	}
 	return colocate.Statistics{
-		BestEffort: []string{image},
+		BestEffort: images,
 		Serving: map[string]colocate.ServingStatistics{"web": {
 			UnloadedTail: 0.25, Readings: 1000,
 			Base:    colocate.Estimate{Mean: 0.4, Information: 1000},
-			Effects: []colocate.Estimate{{Mean: 20, Information: 1000}},
+			Effects: effects,
 		}},
 		Spread: 0.1,
 	}
@@ -53,7 +62,8 @@
 		apply func(*simulation)
 	}{
 		{"an image that is expected to harm all servers", func(sim *simulation) {
-			sim.core.SetPeerModel(1, harmfulModel("heavy"))
+			sim.core.SetPeerModel(1, knownEffects(20, "heavy"))
+			sim.run(fitTime)
 		}},
 		{"executors whose servers are all above their targets", func(sim *simulation) {
 			for _, e := range sim.executors {
@@ -62,8 +72,11 @@
 			sim.run(time.Second)
 		}},
 		{"executors whose processors other best-effort tasks use", func(sim *simulation) {
+			sim.core.SetPeerModel(1, knownEffects(0, "long", "heavy"))
+			sim.run(fitTime)
 			sim.submit("00000000000000cc", newSubmission(bestEffortTasks(12, "long", fleet.Resources{MilliCPU: 3400, MemoryMB: 500}, time.Hour)))
 			sim.run(time.Second)
+			So(sim.running("00000000000000cc"), ShouldEqual, 12)
 		}},
 	} {
 		Convey("Given "+load.name, t, func() {
