Bound the time for which expectations keep a submission from running

Callers saw accepted submissions of best-effort work that never ran although most of the capacity was free (LOST).

Cause: a best-effort task is refused an executor if the model expects harm to the servers there, if one of these is above its target, or if the processors that are expected to be idle are taken. Nothing bounded the time for which all executors are refused, and what refuses them does not improve while the task waits: an image without runs has no readings that could correct its estimate.

A submission none of whose tasks runs is now overdue 1.5 s after the last executor was refused if at least half of the capacity is free, and after 10 s otherwise. It gets one run at a time, on the executor where the least is expected to go wrong; while most capacity is not free, processors are not shared and it goes on waiting for these.

--- /dev/null
+++ b/dispatch/overdue.go
@@ -0,0 +1,109 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/peridotlock/peridotlock/colocate"
+	"github.com/peridotlock/peridotlock/fleet"
+)
+
+// Executors are refused to tasks for what is expected of these: best-effort tasks for
+// harm to servers and for processors that others use, any task for suspects beside it.
+// None of this improves while a task waits: an image without runs has no readings that
+// could correct its estimate, a server may be above its target by its own load, and a
+// suspect may run for long. A submission none of whose tasks runs is therefore overdue after
+// some time. It then gets one run at a time, or one gang, on the executors with room where the
+// least is expected to go wrong. The paces of best-effort runs follow the readings there as
+// everywhere else.
+const (
+	// maxRefusedWait is the time after which a submission is overdue while most capacity is
+	// free. The platform wants a task to run within 3 s, of which storing and starting take
+	// up to one.
+	maxRefusedWait = 1500 * time.Millisecond
+	// maxRefusedWaitBusy is the same while it is not. Processors are not shared then:
+	// best-effort work waits for them in the order of rank.
+	maxRefusedWaitBusy = 10 * time.Second
+	// mostCapacity is the fraction of the capacity that has to be free, as the platform defines.
+	mostCapacity = 0.5
+)
+
+// leniency says which reasons for refusals do not count for a step.
+type leniency byte
+
+const (
+	strict          leniency = iota
+	allowHarm                // expected harm, servers above their targets, and suspects
+	allowOvercommit          // these, and processors that best-effort tasks use
+)
+
+// leniencyFor returns the leniency for the next task of a step that is refused all candidates.
+func (c *Core) leniencyFor(st *step, candidates []*candidate, now time.Duration) leniency {
+	waited := now - st.unplacedSince
+	switch {
+	case st.unplacedSince == 0 || waited < maxRefusedWait || st.job.hasRuns():
+		return strict
+	case isMostlyFree(st.job.sub.Service, candidates):
+		return allowOvercommit
+	case waited < maxRefusedWaitBusy:
+		return strict
+	}
+	return allowHarm
+}
+
+// chooseOverdue returns the candidate for a task of an overdue submission, or nil.
+func (c *Core) chooseOverdue(t *task, candidates []*candidate, lenient leniency, now time.Duration) *candidate {
+	if lenient == strict || t.isStray() {
+		return nil
+	}
+	suspect := t.crashUnit().crash.isSuspect()
+	var best *candidate
+	bestScore := 0.0
+	for _, cand := range candidates {
+		if !allowed(t, cand.executor) || t.step.spec.BestEffort && cand.executor.hasOverdueRun(t.step) {
+			continue
+		}
+		if _, ok := t.step.ticketFor(cand.executor, now); !ok {
+			continue
+		}
+		score, reason := c.scoreOverdue(t, cand, lenient)
+		score -= cand.executor.crashPenalty(suspect, now)
+		if reason == notRefused && (best == nil || score > bestScore) {
+			best, bestScore = cand, score
+		}
+	}
+	return best
+}
+
+func (c *Core) scoreOverdue(t *task, cand *candidate, lenient leniency) (float64, refusal) {
+	spec := t.step.spec
+	if !spec.BestEffort {
+		return c.score(spec, cand)
+	}
+	task := colocate.BestEffortTask{Image: spec.Image, MilliCPU: spec.Size.MilliCPU, Pace: 1}
+	score, r := c.model.ScoreOverdue(task, spec.Size.MemoryMB, &cand.host, lenient == allowOvercommit)
+	return score, refusalOf(r)
+}
+
+// hasOverdueRun reports whether the executor has a best-effort run of another step that was
+// started although the executor was refused to it.
+func (e *executor) hasOverdueRun(st *step) bool {
+	for _, r := range e.runs {
+		if r.overdue && r.task.step != st && r.task.step.spec.BestEffort {
+			return true
+		}
+	}
+	return false
+}
+
+// isMostlyFree reports whether most of a service's capacity on the candidates is free.
+func isMostlyFree(service string, candidates []*candidate) bool {
+	var size, reserved fleet.Resources
+	for _, cand := range candidates {
+		if cand.executor.info.Service == service {
+			size = size.Add(cand.host.Size)
+			reserved = reserved.Add(cand.host.Reserved)
+		}
+	}
+	limit := 1 - mostCapacity
+	return float64(reserved.MilliCPU) <= limit*float64(size.MilliCPU) && float64(reserved.MemoryMB) <= limit*float64(size.MemoryMB)
+}
--- a/dispatch/refusal.go
+++ b/dispatch/refusal.go
@@ -61,9 +61,9 @@
 	waitingLogInterval = 2 * time.Second // between two lines of one step
 )
 
-// logWaiting records why the first waiting task of a step is not started, once the step has
-// waited for some time since its newest start.
-func (c *Core) logWaiting(st *step, why refusals, now time.Duration) {
+// noteUnplaced notes that all executors are refused to the next waiting task of a step. Once
+// the step has waited for some time since its newest start, the log says why.
+func (c *Core) noteUnplaced(st *step, why refusals, now time.Duration) {
 	if st.unplacedSince == 0 {
 		st.unplacedSince = now
 	}
@@ -72,12 +72,16 @@
 	}
 	st.waitingLoggedAt = now
 	t := st.waiting[0]
+	reasons := why.String()
+	if t.isStray() {
+		reasons = "another run of the task is listed"
+	}
 	c.events = append(c.events, Event{
 		Kind: "waiting",
 		Task: t.id().String(),
 		Run:  t.runNumber,
 		Detail: fmt.Sprintf("%d of %d tasks, %d mCPU and %d MB each; of %d executors %d accept work, refused for: %s",
-			len(st.waiting), len(st.tasks), st.spec.Size.MilliCPU, st.spec.Size.MemoryMB, len(c.executors), c.acceptingWork, why),
+			len(st.waiting), len(st.tasks), st.spec.Size.MilliCPU, st.spec.Size.MemoryMB, len(c.executors), c.acceptingWork, reasons),
 		Age: now - st.unplacedSince,
 	})
 }
