Test that work does not wait for suspects to outlive their trial

A task that is no suspect was refused all executors that test tasks with repeated crashes, while these are at most half of all, however long the tests last: for suspects that run long up to 55 s.

The new test fails on (no start in 3 s) and passes now.

--- a/dispatch/starvation_test.go
+++ b/dispatch/starvation_test.go
@@ -74,9 +74,9 @@
 		{"executors whose processors other best-effort tasks use", func(sim *simulation) {
 			sim.core.SetPeerModel(1, knownEffects(0, "long", "heavy"))
 			sim.run(fitTime)
-			sim.submit("00000000000000cc", newSubmission(bestEffortTasks(12, "long", fleet.Resources{MilliCPU: 3400, MemoryMB: 500}, time.Hour)))
+			sim.submit(idC, newSubmission(bestEffortTasks(12, "long", fleet.Resources{MilliCPU: 3400, MemoryMB: 500}, time.Hour)))
 			sim.run(time.Second)
-			So(sim.running("00000000000000cc"), ShouldEqual, 12)
+			So(sim.running(idC), ShouldEqual, 12)
 		}},
 	} {
 		Convey("Given "+load.name, t, func() {
@@ -104,3 +104,31 @@
 		})
 	}
 }
+
+// TestTaskWaitsBesideSuspects guards against work that never starts since the only executors with
+// room test tasks that may crash them.
+func TestTaskWaitsBesideSuspects(t *testing.T) {
+	Convey("Given a cell in which half of the executors test suspects and the others are full", t, func() {
+		sim := newSimulation(8, 1)
+		suspects := longRunning(4)
+		suspects.Size, suspects.MaxPerExecutor = fleet.Resources{MilliCPU: 100, MemoryMB: 100}, 1
+		sim.submit(idA, newSubmission(suspects))
+		for i := range 4 {
+			unit := sim.core.jobs[idA].occurrence(0).steps[0].tasks[i]
+			unit.crash = crashHistory{crashes: 2, suspicion: 0.9, age: 100 * time.Millisecond}
+		}
+		sim.run(2 * time.Second)
+		So(sim.running(idA), ShouldEqual, 4)
+		full := longRunning(4)
+		full.Size, full.MaxPerExecutor = fleet.Resources{MilliCPU: 7500, MemoryMB: 7500}, 1
+		sim.submit(idC, newSubmission(full))
+		sim.run(2 * time.Second)
+		So(sim.running(idC), ShouldEqual, 4)
+
+		Convey("a task that fits beside the suspects only is started in time", func() {
+			sim.submit(idB, newSubmission(tasks(1, time.Second)))
+			So(sim.runUntil(maxIdleTime, func() bool { return sim.running(idB) > 0 }), ShouldBeTrue)
+			So(sim.violations, ShouldBeEmpty)
+		})
+	})
+}
