Keep scores finite with an exact fit and on tiny hosts

Readings that the model predicts exactly gave a spread near 0; the harm is an exponential of a congestion divided by it, and differences of infinite harms are NaN. An executor that states 1/1000 processor made a task use 7,000 times its processors.

TestSpreadOfExactReadings fails on the former code: the gain of a host is not finite.

--- a/colocate/limits_test.go
+++ b/colocate/limits_test.go
@@ -29,3 +29,24 @@
 		})
 	}
 }
+
+// TestSpreadOfExactReadings guards against a model whose spread is 0, which scores hosts with NaN.
+func TestSpreadOfExactReadings(t *testing.T) {
+	Convey("Readings that the model predicts exactly, and many tasks on a small host, give finite scores", t, func() {
+		m := NewModel()
+		h := host([]string{"x"})
+		for i := range minNewReadings {
+			m.Observe(Server{Image: "x", Service: "x", Tail: priorUnloadedTail / (1 - priorBase)}, nil, h, time.Duration(i)*time.Millisecond)
+		}
+		m.Fit()
+		So(m.spread, ShouldBeGreaterThan, 0)
+		small := host([]string{"x"})
+		small.Size.MilliCPU = 1
+		for range 100 {
+			small.BestEffort = append(small.BestEffort, bestEffort("y"))
+		}
+		gain := m.gain(small, m.interferenceAtFullPace(small), 0)
+		So(math.IsNaN(gain) || math.IsInf(gain, 0), ShouldBeFalse)
+		So(m.Pace(small, 0), ShouldHaveLength, 100)
+	})
+}
