--- a/colocate/limits_test.go
+++ b/colocate/limits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strconv"
 	"testing"
 	"time"
 
@@ -50,3 +51,80 @@
 		So(m.Pace(small, 0), ShouldHaveLength, 100)
 	})
 }
+
+// TestMalformedStatistics guards against statistics after which a model has figures that are not finite.
+func TestMalformedStatistics(t *testing.T) {
+	nan, inf := math.NaN(), math.Inf(1)
+	withServing := func(change func(*ServingStatistics)) func(*Statistics) {
+		return func(s *Statistics) {
+			x := s.Serving["x"]
+			change(&x)
+			s.Serving["x"] = x
+		}
+	}
+	effect := func(e Estimate) func(*Statistics) {
+		return withServing(func(x *ServingStatistics) { x.Effects[1] = e })
+	}
+	malformed := map[string]func(*Statistics){
+		"row below 0":              effect(Estimate{Row: -1}),
+		"row beyond the images":    effect(Estimate{Row: 2}),
+		"two effects of one row":   effect(Estimate{Row: 0, Mean: 1, Information: 1}),
+		"mean NaN":                 effect(Estimate{Row: 1, Mean: float32(nan), Information: 1}),
+		"mean infinite":            effect(Estimate{Row: 1, Mean: float32(inf), Information: 1}),
+		"mean too large":           effect(Estimate{Row: 1, Mean: math.MaxFloat32, Information: 1}),
+		"information NaN":          effect(Estimate{Row: 1, Mean: 1, Information: float32(nan)}),
+		"information infinite":     effect(Estimate{Row: 1, Mean: 1, Information: float32(inf)}),
+		"information too large":    effect(Estimate{Row: 1, Mean: 1, Information: math.MaxFloat32}),
+		"information negative":     effect(Estimate{Row: 1, Mean: 1, Information: -0.02}),
+		"base information NaN":     withServing(func(x *ServingStatistics) { x.Base.Information = float32(nan) }),
+		"base information < 0":     withServing(func(x *ServingStatistics) { x.Base.Information = -1000 }),
+		"base of a row":            withServing(func(x *ServingStatistics) { x.Base.Row = 1 }),
+		"readings negative":        withServing(func(x *ServingStatistics) { x.Readings = -1 }),
+		"readings too many":        withServing(func(x *ServingStatistics) { x.Readings = math.MaxInt }),
+		"unloaded tail 0":          withServing(func(x *ServingStatistics) { x.UnloadedTail = 0 }),
+		"unloaded tail NaN":        withServing(func(x *ServingStatistics) { x.UnloadedTail = nan }),
+		"unloaded tail too large":  withServing(func(x *ServingStatistics) { x.UnloadedTail = 1e300 }),
+		"spread NaN":               func(s *Statistics) { s.Spread = nan },
+		"spread infinite":          func(s *Statistics) { s.Spread = inf },
+		"spread negative":          func(s *Statistics) { s.Spread = -1 },
+		"spread too small":         func(s *Statistics) { s.Spread = 1e-300 },
+		"constant error NaN":       func(s *Statistics) { s.Periods.Constant = float32(nan) },
+		"seasonal error NaN":       func(s *Statistics) { s.Periods.Seasonal = []float32{float32(nan)} },
+		"seasonal error negative":  func(s *Statistics) { s.Periods.Seasonal = []float32{-1} },
+		"seasonal error too large": func(s *Statistics) { s.Periods.Seasonal = []float32{math.MaxFloat32} },
+		"image twice":              func(s *Statistics) { s.BestEffort[1] = s.BestEffort[0] },
+		"too many best-effort images": func(s *Statistics) {
+			for i := range maxImages {
+				s.BestEffort = append(s.BestEffort, strconv.Itoa(i))
+			}
+		},
+		"too many serving images": func(s *Statistics) {
+			for i := range maxImages {
+				s.Serving[strconv.Itoa(i)] = ServingStatistics{UnloadedTail: 0.2}
+			}
+		},
+	}
+	for name, change := range malformed {
+		Convey("Statistics are ignored, and the last good ones stay: "+name, t, func() {
+			m := NewModel()
+			m.SetPredecessor(predecessorStatistics())
+			m.SetPeer(1, predecessorStatistics())
+			before := m.Statistics()
+			effect := m.Effect("x", "heavy")
+			s := predecessorStatistics()
+			change(&s)
+			So(s.Validate(), ShouldNotBeNil)
+			m.SetPredecessor(s)
+			m.SetPeer(1, s)
+			So(m.Statistics(), ShouldResemble, before)
+			So(m.Effect("x", "heavy"), ShouldEqual, effect)
+			So(m.spread, ShouldEqual, 0.1)
+		})
+	}
+	Convey("Statistics of a model are valid", t, func() {
+		So(predecessorStatistics().Validate(), ShouldBeNil)
+		So(Statistics{}.Validate(), ShouldBeNil)
+		So(NewModel().Statistics().Validate(), ShouldBeNil)
+		So(trainedModel(newGroundTruth(1), 300).Statistics().Validate(), ShouldBeNil)
+	})
+}
