Bound the number of images and of peers of a model

Each image ever seen stayed a row of all regressions and a name in all records, of this owner and of those that take over its statistics; the time of a fit grows with the third power. A model now has 64 best-effort and 64 serving images, and statistics of 128 peers. An image without room has the priors, and readings beside it are left out. The users' sites have up to 30.

--- a/colocate/limits_test.go
+++ b/colocate/limits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"strconv"
 	"testing"
 	"time"
@@ -128,3 +129,106 @@
 		So(trainedModel(newGroundTruth(1), 300).Statistics().Validate(), ShouldBeNil)
 	})
 }
+
+// TestImageLimit guards against a fit whose time and a record whose size grow with each image ever seen.
+func TestImageLimit(t *testing.T) {
+	Convey("Given a model that meets a new serving and best-effort image every 500 ms", t, func() {
+		const images = 2 * maxImages
+		m := NewModel()
+		name := func(prefix string, i int) string { return prefix + strconv.Itoa(i) }
+		observe := func(i int, tail float64) bool {
+			task := bestEffort(name("batch", i))
+			h := host([]string{name("service", i)}, task)
+			ok := true
+			for range 5 {
+				_, observed := m.Observe(Server{Image: name("service", i), Service: "s", Tail: tail}, h.BestEffort, h, time.Duration(i)*500*time.Millisecond)
+				ok = ok && observed
+			}
+			return ok
+		}
+		for i := range images {
+			observe(i, 0.5)
+			m.Fit()
+			if len(m.bestEffort) > maxImages || len(m.serving) > maxImages {
+				t.Fatalf("%d best-effort and %d serving images, want at most %d", len(m.bestEffort), len(m.serving), maxImages)
+			}
+		}
+		Convey("those without a reading in the window and without statistics of others make room for new ones", func() {
+			So(observe(images, 0.5), ShouldBeTrue)
+			fitted := images - minNewReadings/5 // is in the newest fit
+			s := m.Statistics()
+			So(s.Validate(), ShouldBeNil)
+			So(published(s, name("service", fitted)), ShouldContainKey, name("batch", fitted))
+			So(published(s, name("service", fitted)), ShouldHaveLength, 1)
+			So(s.Serving, ShouldNotContainKey, name("service", 0))
+		})
+		Convey("further images of other models have the priors, and the effects of known ones stay", func() {
+			known := m.Effect(name("service", images-1), name("batch", images-1))
+			for i := range 2 * maxPeers {
+				s := Statistics{Serving: map[string]ServingStatistics{}, Spread: 0.1}
+				effects := make([]Estimate, 0, maxImages)
+				for row := range maxImages {
+					s.BestEffort = append(s.BestEffort, name("b", i*maxImages+row))
+					effects = append(effects, Estimate{Row: row, Mean: 3, Information: 10})
+				}
+				for row := range maxImages {
+					s.Serving[name("p", i*maxImages+row)] = ServingStatistics{UnloadedTail: 0.25, Effects: effects}
+				}
+				m.SetPeer(i, s)
+			}
+			So(len(m.peers), ShouldEqual, maxPeers)
+			So(len(m.bestEffort), ShouldBeLessThanOrEqualTo, maxImages)
+			So(len(m.serving), ShouldBeLessThanOrEqualTo, maxImages)
+			So(m.Effect(name("p", 0), name("b", 2*maxImages)), ShouldEqual, priorEffect)
+			So(m.Effect(name("service", images-1), name("batch", images-1)), ShouldEqual, known)
+			So(m.Statistics().Validate(), ShouldBeNil)
+		})
+	})
+}
+
+// fullModel returns a model with as many images as are allowed, each pair seen, that
+// has peers with statistics of all of them.
+func fullModel() *Model {
+	rng, m := rand.New(rand.NewPCG(1, 1)), NewModel()
+	for i := range maxReadings {
+		h := host([]string{"service" + strconv.Itoa(rng.IntN(maxImages))})
+		for range 4 {
+			h.BestEffort = append(h.BestEffort, bestEffort("batch"+strconv.Itoa(rng.IntN(maxImages))))
+		}
+		m.Observe(Server{Image: h.Servers[0].Image, Service: "s", Tail: 0.3 + 0.4*rng.Float64()}, h.BestEffort, h, time.Duration(i)*readingWindow/maxReadings)
+	}
+	m.Fit()
+	s := m.Statistics()
+	for i := range 30 {
+		m.SetPeer(i, s)
+	}
+	return m
+}
+
+// BenchmarkFullModel measures the largest fit and publication, and taking up the
+// largest statistics.
+func BenchmarkFullModel(b *testing.B) {
+	m := fullModel()
+	s := m.Statistics()
+	b.Run("fit", func(b *testing.B) {
+		for b.Loop() {
+			m.readingsSinceFit = minNewReadings
+			m.Fit()
+		}
+	})
+	b.Run("publication", func(b *testing.B) {
+		for b.Loop() {
+			m.Statistics()
+		}
+	})
+	b.Run("peer", func(b *testing.B) {
+		for b.Loop() {
+			m.SetPeer(1, s)
+		}
+	})
+	b.Run("peer of an empty model", func(b *testing.B) {
+		for b.Loop() {
+			NewModel().SetPeer(1, s)
+		}
+	})
+}
--- a/colocate/validate.go
+++ b/colocate/validate.go
@@ -5,11 +5,12 @@
 // Limits of valid Statistics, exact in 32 bits. A model keeps to them in what it
 // publishes.
 const (
-	maxImages      = 128     // best-effort images, and serving images, of a model; bounds the time of a fit and the size of Statistics
+	maxImages      = 64      // best-effort images, and serving images, of a model; bounds the time of a fit and the size of Statistics
 	maxMean        = 1e6     // absolute value, of an estimate
 	maxInformation = 1e9     // of an estimate
 	maxPeriodError = 1e10    // of PeriodStatistics
 	maxReadingSum  = 1 << 30 // of ServingStatistics
+	maxPeers       = 128     // models whose statistics a model uses
 )
 
 // Validate returns an error if a figure is not finite or out of its range, an image
