--- a/colocate/adopt_test.go
+++ b/colocate/adopt_test.go
@@ -54,3 +54,16 @@
 		So(effects["own"].Information, ShouldBeLessThan, 1)
 	})
 }
+
+// TestEffectsWithoutBase guards against losing all effects on a serving image whose base has no information.
+func TestEffectsWithoutBase(t *testing.T) {
+	Convey("A predecessor's effects are published although it knows nothing of the base", t, func() {
+		s := predecessorStatistics()
+		x := s.Serving["x"]
+		x.Base = Estimate{}
+		s.Serving["x"] = x
+		m := NewModel()
+		m.SetPredecessor(s)
+		So(published(m.Statistics(), "x"), ShouldHaveLength, 2)
+	})
+}
