--- a/colocate/order_test.go
+++ b/colocate/order_test.go
@@ -234,9 +234,12 @@
 		}
 	}
 	task := bestEffort(r.batch[0])
-	if score, ok := r.model.ScoreBestEffort(task, 1000, h); ok && !isFinite(score) {
+	if score, refusal := r.model.ScoreBestEffort(task, 1000, h); refusal == NotRefused && !isFinite(score) {
 		return fmt.Errorf("score %v of a best-effort task", score)
 	}
+	if score, refusal := r.model.ScoreOverdue(task, 1000, h, true); refusal == NotRefused && !isFinite(score) {
+		return fmt.Errorf("score %v of an overdue best-effort task", score)
+	}
 	if score, ok := r.model.ScoreServer(r.services[0], h.Size.Sub(h.Reserved), h); ok && !isFinite(score) {
 		return fmt.Errorf("score %v of a server", score)
 	}
