Retry a task on the executor where it failed if there is no other

A task that is not long-running was never started again on the executor where its last run had failed or been throttled. With no other executor that satisfies its constraints and has room, it waited without bound, and the tasks of its step behind it.

An overdue submission may use that executor, after all others with room.

--- a/dispatch/overdue.go
+++ b/dispatch/overdue.go
@@ -8,10 +8,10 @@
 )
 
 // Executors are refused to tasks for what is expected of these: best-effort tasks for
-// harm to servers and for processors that others use, any task for suspects beside it.
-// None of this improves while a task waits: an image without runs has no readings that
-// could correct its estimate, a server may be above its target by its own load, and a
-// suspect may run for long. A submission none of whose tasks runs is therefore overdue after
+// harm to servers and for processors that others use, any task for suspects beside it, and a
+// task that has failed there. None of this improves while a task waits: an image without runs
+// has no readings that could correct its estimate, a server may be above its target by its
+// own load, a suspect may run for long, and there may be no other executor. A submission none of whose tasks runs is therefore overdue after
 // some time. It then gets one run at a time, or one gang, on the executors with room where the
 // least is expected to go wrong. The paces of best-effort runs follow the readings there as
 // everywhere else.
@@ -59,7 +59,7 @@
 	var best *candidate
 	bestScore := 0.0
 	for _, cand := range candidates {
-		if !allowed(t, cand.executor) || t.step.spec.BestEffort && cand.executor.hasOverdueRun(t.step) {
+		if !satisfiesConstraints(t, cand.executor) || t.step.spec.BestEffort && cand.executor.hasOverdueRun(t.step) {
 			continue
 		}
 		if _, ok := t.step.ticketFor(cand.executor, now); !ok {
@@ -67,6 +67,9 @@
 		}
 		score, reason := c.scoreOverdue(t, cand, lenient)
 		score -= cand.executor.crashPenalty(suspect, now)
+		if cand.executor.info.ID == t.avoidExecutor {
+			score -= avoidPenalty
+		}
 		if reason == notRefused && (best == nil || score > bestScore) {
 			best, bestScore = cand, score
 		}
--- /dev/null
+++ b/dispatch/refusedwork_test.go
@@ -0,0 +1,42 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/peridotlock/peridotlock/submission"
+)
+
+// longestIdleTime runs a simulation until a submission has ended, for at most d, and returns the
+// longest time for which none of its tasks was running.
+func (sim *simulation) longestIdleTime(id string, d time.Duration) time.Duration {
+	idle, longest := time.Duration(0), time.Duration(0)
+	sim.runUntil(d, func() bool {
+		idle += simulationStep
+		if sim.running(id) > 0 {
+			idle = 0
+		}
+		longest = max(longest, idle)
+		return sim.publishedStates[submission.ID(id)].IsFinal()
+	})
+	return longest
+}
+
+// TestRetryWithoutOtherExecutor guards against a failed task that never starts again since only
+// the executor on which it failed satisfies its constraints or has room.
+func TestRetryWithoutOtherExecutor(t *testing.T) {
+	Convey("Given a cell of one executor, on which the first run of a task fails", t, func() {
+		sim := newSimulation(1, 1)
+		failures := 0
+		sim.fails = func(*fakeExecutor, string) bool { failures++; return failures == 1 }
+		sim.submit(idA, newSubmission(tasks(1, 500*time.Millisecond)))
+
+		Convey("the task is started again in time", func() {
+			So(sim.longestIdleTime(idA, 20*time.Second), ShouldBeLessThan, maxIdleTime)
+			So(sim.publishedStates[idA], ShouldEqual, submission.Completed)
+			So(sim.violations, ShouldBeEmpty)
+		})
+	})
+}
