Start more overdue best-effort submissions than there are executors

An executor took one overdue best-effort run of other steps at a time. Such a run may be paced down to 0 while the servers stay above their targets, and then does not end, so that of more submissions than executors the rest waited without bound.

While most capacity is free, further overdue runs on an executor lower its score in place of excluding it. While it is not, the limit stays.

--- a/dispatch/overdue.go
+++ b/dispatch/overdue.go
@@ -27,6 +27,11 @@
 	mostCapacity = 0.5
 )
 
+// overdueRunPenalty outweighs the other parts of a score of an overdue best-effort task, for each
+// overdue run on the executor. These may be paced down to 0, so that waiting for their ends
+// has no bound.
+const overdueRunPenalty = 1e7
+
 // leniency says which reasons for refusals do not count for a step.
 type leniency byte
 
@@ -59,14 +64,15 @@
 	var best *candidate
 	bestScore := 0.0
 	for _, cand := range candidates {
-		if !satisfiesConstraints(t, cand.executor) || t.step.spec.BestEffort && cand.executor.hasOverdueRun(t.step) {
+		others := cand.executor.countOverdueRuns(t.step)
+		if !satisfiesConstraints(t, cand.executor) || lenient == allowHarm && others > 0 {
 			continue
 		}
 		if _, ok := t.step.ticketFor(cand.executor, now); !ok {
 			continue
 		}
 		score, reason := c.scoreOverdue(t, cand, lenient)
-		score -= cand.executor.crashPenalty(suspect, now)
+		score -= cand.executor.crashPenalty(suspect, now) + overdueRunPenalty*float64(others)
 		if cand.executor.info.ID == t.avoidExecutor {
 			score -= avoidPenalty
 		}
@@ -87,15 +93,16 @@
 	return score, refusalOf(r)
 }
 
-// hasOverdueRun reports whether the executor has a best-effort run of another step that was
-// started although the executor was refused to it.
-func (e *executor) hasOverdueRun(st *step) bool {
+// countOverdueRuns returns the number of best-effort runs of other steps than st that were
+// started although the executor was refused to them. It is 0 if st is not best-effort.
+func (e *executor) countOverdueRuns(st *step) int {
+	n := 0
 	for _, r := range e.runs {
-		if r.overdue && r.task.step != st && r.task.step.spec.BestEffort {
-			return true
+		if r.overdue && r.task.step != st && r.task.step.spec.BestEffort && st.spec.BestEffort {
+			n++
 		}
 	}
-	return false
+	return n
 }
 
 // isMostlyFree reports whether most of a service's capacity on the candidates is free.
--- a/dispatch/refusedwork_test.go
+++ b/dispatch/refusedwork_test.go
@@ -1,11 +1,13 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/peridotlock/peridotlock/fleet"
 	"github.com/peridotlock/peridotlock/submission"
 )
 
@@ -24,6 +26,15 @@
 	return longest
 }
 
+// newCellOfHarmfulImage returns a served cell whose model is certain that the image "heavy"
+// harms all servers.
+func newCellOfHarmfulImage(seed uint64) *simulation {
+	sim := newServedCell(seed)
+	sim.core.SetPeerModel(1, knownEffects(20, "heavy"))
+	sim.run(fitTime)
+	return sim
+}
+
 // TestRetryWithoutOtherExecutor guards against a failed task that never starts again since only
 // the executor on which it failed satisfies its constraints or has room.
 func TestRetryWithoutOtherExecutor(t *testing.T) {
@@ -40,3 +51,27 @@
 		})
 	})
 }
+
+// TestOverdueSubmissionsBeyondExecutors guards against best-effort work that waits without bound
+// behind overdue runs that make no progress.
+func TestOverdueSubmissionsBeyondExecutors(t *testing.T) {
+	Convey("Given executors whose servers stay above their targets", t, func() {
+		sim := newServedCell(1)
+		for _, e := range sim.executors {
+			e.hot = true
+		}
+		sim.run(time.Second)
+
+		Convey("each of more best-effort submissions than executors has a run in time", func() {
+			var ids []string
+			for i := range 9 {
+				ids = append(ids, fmt.Sprintf("%016x", 0xb00+i))
+				sim.submit(ids[i], newSubmission(bestEffortTasks(1, "heavy", fleet.Resources{MilliCPU: 1000, MemoryMB: 300}, time.Hour)))
+			}
+			sim.run(maxIdleTime)
+			for _, id := range ids {
+				So(sim.running(id), ShouldEqual, 1)
+			}
+		})
+	})
+}
