Start long-running best-effort tasks beside others of their submission

Only a submission without any run was overdue. Of a long-running best-effort step that is refused everywhere, one task ran and the others waited as long as it did, also after a crash took them. The platform wants each long-running task to run, however full the service is.

Long-running tasks are overdue one by one after maxRefusedWait, and without a start in between.

Result: TestLastingBestEffortTaskIsStarved fails on (one of 4 tasks runs) and passes now.

--- a/dispatch/overdue.go
+++ b/dispatch/overdue.go
@@ -13,14 +13,15 @@
 // has no readings that could correct its estimate, a server may be above its target by its
 // own load, a suspect may run for long, and there may be no other executor. A submission none of whose tasks runs is therefore overdue after
 // some time. It then gets one run at a time, or one gang, on the executors with room where the
-// least is expected to go wrong. The paces of best-effort runs follow the readings there as
+// least is expected to go wrong. Long-running tasks are overdue one by one, whether others of
+// their submission run or not. The paces of best-effort runs follow the readings there as
 // everywhere else.
 const (
 	// maxRefusedWait is the time after which a submission is overdue while most capacity is
 	// free. The platform wants a task to run within 3 s, of which storing and starting take
 	// up to one.
 	maxRefusedWait = 1500 * time.Millisecond
-	// maxRefusedWaitBusy is the same while it is not. Processors are not shared then:
+	// maxRefusedWaitBusy is the same for batch work while it is not. Processors are not shared then:
 	// best-effort work waits for them in the order of rank.
 	maxRefusedWaitBusy = 10 * time.Second
 	// mostCapacity is the fraction of the capacity that has to be free, as the platform defines.
@@ -45,11 +46,11 @@
 func (c *Core) leniencyFor(st *step, candidates []*candidate, now time.Duration) leniency {
 	waited := now - st.unplacedSince
 	switch {
-	case st.unplacedSince == 0 || waited < maxRefusedWait || st.job.hasRuns():
+	case st.unplacedSince == 0 || waited < maxRefusedWait || st.job.hasRuns() && !st.spec.LongRunning:
 		return strict
 	case isMostlyFree(st.job.sub.Service, candidates):
 		return allowOvercommit
-	case waited < maxRefusedWaitBusy:
+	case waited < maxRefusedWaitBusy && !st.spec.LongRunning:
 		return strict
 	}
 	return allowHarm
@@ -65,7 +66,7 @@
 	bestScore := 0.0
 	for _, cand := range candidates {
 		others := cand.executor.countOverdueRuns(t.step)
-		if !satisfiesConstraints(t, cand.executor) || lenient == allowHarm && others > 0 {
+		if !satisfiesConstraints(t, cand.executor) || lenient == allowHarm && others > 0 && !t.step.spec.LongRunning {
 			continue
 		}
 		if _, ok := t.step.ticketFor(cand.executor, now); !ok {
--- a/dispatch/refusedwork_test.go
+++ b/dispatch/refusedwork_test.go
@@ -75,3 +75,19 @@
 		})
 	})
 }
+
+// TestLastingBestEffortTaskIsStarved guards against long-running best-effort tasks that never run
+// since others of their submission do.
+func TestLastingBestEffortTaskIsStarved(t *testing.T) {
+	Convey("Given long-running best-effort tasks of an image that is expected to harm all servers", t, func() {
+		sim := newCellOfHarmfulImage(1)
+		lasting := bestEffortTasks(4, "heavy", fleet.Resources{MilliCPU: 500, MemoryMB: 500}, 0)
+		lasting.LongRunning = true
+		sim.submit(idB, newSubmission(lasting))
+
+		Convey("all of them run in time", func() {
+			So(sim.runUntil(maxIdleTime, func() bool { return sim.running(idB) == 4 }), ShouldBeTrue)
+			So(sim.violations, ShouldBeEmpty)
+		})
+	})
+}
