--- a/dispatch/overdue.go
+++ b/dispatch/overdue.go
@@ -8,25 +8,31 @@
 )
 
 // Executors are refused to tasks for what is expected of these: best-effort tasks for
-// harm to servers and for processors that others use, any task for suspects beside it.
-// None of this improves while a task waits: an image without runs has no readings that
-// could correct its estimate, a server may be above its target by its own load, and a
-// suspect may run for long. A submission none of whose tasks runs is therefore overdue after
+// harm to servers and for processors that others use, any task for suspects beside it, and a
+// task that has failed there. None of this improves while a task waits: an image without runs
+// has no readings that could correct its estimate, a server may be above its target by its
+// own load, a suspect may run for long, and there may be no other executor. A submission none of whose tasks runs is therefore overdue after
 // some time. It then gets one run at a time, or one gang, on the executors with room where the
-// least is expected to go wrong. The paces of best-effort runs follow the readings there as
+// least is expected to go wrong. Long-running tasks are overdue one by one, whether others of
+// their submission run or not. The paces of best-effort runs follow the readings there as
 // everywhere else.
 const (
 	// maxRefusedWait is the time after which a submission is overdue while most capacity is
 	// free. The platform wants a task to run within 3 s, of which storing and starting take
 	// up to one.
 	maxRefusedWait = 1500 * time.Millisecond
-	// maxRefusedWaitBusy is the same while it is not. Processors are not shared then:
+	// maxRefusedWaitBusy is the same for batch work while it is not. Processors are not shared then:
 	// best-effort work waits for them in the order of rank.
 	maxRefusedWaitBusy = 10 * time.Second
 	// mostCapacity is the fraction of the capacity that has to be free, as the platform defines.
 	mostCapacity = 0.5
 )
 
+// overdueRunPenalty outweighs the other parts of a score of an overdue best-effort task, for each
+// overdue run on the executor. These may be paced down to 0, so that waiting for their ends
+// has no bound.
+const overdueRunPenalty = 1e7
+
 // leniency says which reasons for refusals do not count for a step.
 type leniency byte
 
@@ -40,11 +46,11 @@
 func (c *Core) leniencyFor(st *step, candidates []*candidate, now time.Duration) leniency {
 	waited := now - st.unplacedSince
 	switch {
-	case st.unplacedSince == 0 || waited < maxRefusedWait || st.job.hasRuns():
+	case st.unplacedSince == 0 || waited < maxRefusedWait || st.job.hasRuns() && !st.spec.LongRunning:
 		return strict
 	case isMostlyFree(st.job.sub.Service, candidates):
 		return allowOvercommit
-	case waited < maxRefusedWaitBusy:
+	case waited < maxRefusedWaitBusy && !st.spec.LongRunning:
 		return strict
 	}
 	return allowHarm
@@ -59,14 +65,18 @@
 	var best *candidate
 	bestScore := 0.0
 	for _, cand := range candidates {
-		if !allowed(t, cand.executor) || t.step.spec.BestEffort && cand.executor.hasOverdueRun(t.step) {
+		others := cand.executor.countOverdueRuns(t.step)
+		if !satisfiesConstraints(t, cand.executor) || lenient == allowHarm && others > 0 && !t.step.spec.LongRunning {
 			continue
 		}
 		if _, ok := t.step.ticketFor(cand.executor, now); !ok {
 			continue
 		}
 		score, reason := c.scoreOverdue(t, cand, lenient)
-		score -= cand.executor.crashPenalty(suspect, now)
+		score -= cand.executor.crashPenalty(suspect, now) + overdueRunPenalty*float64(others)
+		if cand.executor.info.ID == t.avoidExecutor {
+			score -= avoidPenalty
+		}
 		if reason == notRefused && (best == nil || score > bestScore) {
 			best, bestScore = cand, score
 		}
@@ -84,15 +94,16 @@
 	return score, refusalOf(r)
 }
 
-// hasOverdueRun reports whether the executor has a best-effort run of another step that was
-// started although the executor was refused to it.
-func (e *executor) hasOverdueRun(st *step) bool {
+// countOverdueRuns returns the number of best-effort runs of other steps than st that were
+// started although the executor was refused to them. It is 0 if st is not best-effort.
+func (e *executor) countOverdueRuns(st *step) int {
+	n := 0
 	for _, r := range e.runs {
-		if r.overdue && r.task.step != st && r.task.step.spec.BestEffort {
-			return true
+		if r.overdue && r.task.step != st && r.task.step.spec.BestEffort && st.spec.BestEffort {
+			n++
 		}
 	}
-	return false
+	return n
 }
 
 // isMostlyFree reports whether most of a service's capacity on the candidates is free.
--- /dev/null
+++ b/dispatch/refusedwork_test.go
@@ -0,0 +1,93 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/peridotlock/peridotlock/fleet"
+	"github.com/peridotlock/peridotlock/submission"
+)
+
+// longestIdleTime runs a simulation until a submission has ended, for at most d, and returns the
+// longest time for which none of its tasks was running.
+func (sim *simulation) longestIdleTime(id string, d time.Duration) time.Duration {
+	idle, longest := time.Duration(0), time.Duration(0)
+	sim.runUntil(d, func() bool {
+		idle += simulationStep
+		if sim.running(id) > 0 {
+			idle = 0
+		}
+		longest = max(longest, idle)
+		return sim.publishedStates[submission.ID(id)].IsFinal()
+	})
+	return longest
+}
+
+// newCellOfHarmfulImage returns a served cell whose model is certain that the image "heavy"
+// harms all servers.
+func newCellOfHarmfulImage(seed uint64) *simulation {
+	sim := newServedCell(seed)
+	sim.core.SetPeerModel(1, knownEffects(20, "heavy"))
+	sim.run(fitTime)
+	return sim
+}
+
+// TestRetryWithoutOtherExecutor guards against a failed task that never starts again since only
+// the executor on which it failed satisfies its constraints or has room.
+func TestRetryWithoutOtherExecutor(t *testing.T) {
+	Convey("Given a cell of one executor, on which the first run of a task fails", t, func() {
+		sim := newSimulation(1, 1)
+		failures := 0
+		sim.fails = func(*fakeExecutor, string) bool { failures++; return failures == 1 }
+		sim.submit(idA, newSubmission(tasks(1, 500*time.Millisecond)))
+
+		Convey("the task is started again in time", func() {
+			So(sim.longestIdleTime(idA, 20*time.Second), ShouldBeLessThan, maxIdleTime)
+			So(sim.publishedStates[idA], ShouldEqual, submission.Completed)
+			So(sim.violations, ShouldBeEmpty)
+		})
+	})
+}
+
+// TestOverdueSubmissionsBeyondExecutors guards against best-effort work that waits without bound
+// behind overdue runs that make no progress.
+func TestOverdueSubmissionsBeyondExecutors(t *testing.T) {
+	Convey("Given executors whose servers stay above their targets", t, func() {
+		sim := newServedCell(1)
+		for _, e := range sim.executors {
+			e.hot = true
+		}
+		sim.run(time.Second)
+
+		Convey("each of more best-effort submissions than executors has a run in time", func() {
+			var ids []string
+			for i := range 9 {
+				ids = append(ids, fmt.Sprintf("%016x", 0xb00+i))
+				sim.submit(ids[i], newSubmission(bestEffortTasks(1, "heavy", fleet.Resources{MilliCPU: 1000, MemoryMB: 300}, time.Hour)))
+			}
+			sim.run(maxIdleTime)
+			for _, id := range ids {
+				So(sim.running(id), ShouldEqual, 1)
+			}
+		})
+	})
+}
+
+// TestLastingBestEffortTaskIsStarved guards against long-running best-effort tasks that never run
+// since others of their submission do.
+func TestLastingBestEffortTaskIsStarved(t *testing.T) {
+	Convey("Given long-running best-effort tasks of an image that is expected to harm all servers", t, func() {
+		sim := newCellOfHarmfulImage(1)
+		lasting := bestEffortTasks(4, "heavy", fleet.Resources{MilliCPU: 500, MemoryMB: 500}, 0)
+		lasting.LongRunning = true
+		sim.submit(idB, newSubmission(lasting))
+
+		Convey("all of them run in time", func() {
+			So(sim.runUntil(maxIdleTime, func() bool { return sim.running(idB) == 4 }), ShouldBeTrue)
+			So(sim.violations, ShouldBeEmpty)
+		})
+	})
+}
