--- a/colocate/validate.go
+++ b/colocate/validate.go
@@ -9,7 +9,7 @@
 	maxMean        = 1e6     // absolute value, of an estimate
 	maxInformation = 1e9     // of an estimate
 	maxPeriodError = 1e10    // of PeriodStatistics
-	maxReadingSum  = 1 << 30 // of ServingStatistics
+	maxReadingSum  = 1 << 40 // of ServingStatistics
 	maxPeers       = 128     // models whose statistics a model uses
 )
 
