--- a/dispatch/oddrecord_test.go
+++ b/dispatch/oddrecord_test.go
@@ -7,7 +7,9 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/peridotlock/peridotlock/cell"
 	"github.com/peridotlock/peridotlock/fleet"
+	"github.com/peridotlock/peridotlock/provider"
 	"github.com/peridotlock/peridotlock/submission"
 )
 
@@ -118,3 +120,72 @@
 		})
 	})
 }
+
+// oddTaskNames name no task of a submission with one step of one task.
+var oddTaskNames = []string{
+	idA + ".0.-1.0", idA + ".0.0.-1", idA + ".-1.0.0", idA + ".0.1.0", idA + ".0.0.1", idA + ".9223372036854775807.0.0",
+	idA + ".0.+0.0", idA + ".00.0.0", idA + ".0.0.9223372036854775808", "...", "", "\x00", idB + ".0.0.0",
+}
+
+// An executor that listed a task with a negative number ended its owner with "index out of
+// range [-1]", and each owner after it.
+func TestReportOfOddTasksEndsNoOwner(t *testing.T) {
+	Convey("Given an executor that lists tasks that do not exist", t, func() {
+		sim := newSimulation(2, 1)
+		sim.submit(idA, newSubmission(longRunning(1)))
+		sim.run(time.Second)
+		e := sim.executors[0]
+		for _, name := range oddTaskNames {
+			report := provider.HeartbeatReport{Clock: e.clock(sim.now), StartTimeMs: e.instance}
+			for _, r := range e.allRuns() {
+				report.Running = append(report.Running, provider.RunStatus{Task: r.task, Run: r.number})
+			}
+			for _, run := range []int{-1, 0, 1, math.MaxInt} {
+				report.Running = append(report.Running, provider.RunStatus{Task: name, Run: run, Percent: 1e308, Measurement: 1e308})
+				report.Ended = append(report.Ended, provider.RunEnd{Number: int64(len(report.Ended) + 1), Task: name, Run: run, Outcome: provider.RunDone})
+			}
+			sim.core.HandleHeartbeatReport(e.id, provider.HeartbeatRequest{FencingToken: sim.fencingToken}, report, sim.now, sim.now)
+			sim.core.Tick(sim.now)
+			sim.core.Orders(sim.now)
+		}
+		Convey("its owner goes on, and the task of the submission runs once", func() {
+			sim.run(5 * time.Second)
+			So(sim.running(idA), ShouldEqual, 1)
+			So(sim.violations, ShouldBeEmpty)
+		})
+	})
+	Convey("An end of a run that no owner has started does not complete its task", t, func() {
+		sim := newSimulation(1, 1)
+		sim.submit(idA, newSubmission(tasks(1, time.Second)))
+		sim.core.releaseDue(0)
+		sim.core.handleLateEnd(sim.core.executor("i-0", 0), provider.RunEnd{Number: 1, Task: idA + ".0.0.0", Run: -1, Outcome: provider.RunDone}, 0)
+		sim.core.handleLateEnd(sim.core.executor("i-0", 0), provider.RunEnd{Number: 1, Task: idA + ".0.0.0", Run: 0, Outcome: provider.RunDone}, 0)
+		So(sim.core.findTask(idA+".0.0.0").phase, ShouldEqual, taskPending)
+	})
+}
+
+// A loan with a negative step ended the owner; one with a high occurrence kept all earlier
+// occurrences from being created.
+func TestOddLoanChangesNothing(t *testing.T) {
+	Convey("Given a submission with three occurrences", t, func() {
+		sim := newSimulation(2, 1)
+		s := newSubmission(tasks(1, 100*time.Millisecond))
+		s.Occurrences, s.IntervalMs = 3, 1
+		sim.submit(idA, s)
+		for _, loan := range []cell.Loan{
+			{Step: -1, Run: 1}, {Index: -1, Run: 1}, {Occurrence: -1, Run: 1}, {Occurrence: 3, Run: 1}, {Occurrence: math.MaxInt, Run: 1},
+			{Step: 1, Run: 1}, {Index: 1, Run: 1}, {Run: -1}, {Run: math.MaxInt},
+			{Run: 1, Crashes: -1}, {Run: 1, Crashes: math.MaxInt}, {Run: 1, Suspicion: math.NaN()}, {Run: 1, Suspicion: 2}, {Run: 1, CrashAgeMs: -1}, {Run: 1, CrashAgeMs: math.MaxInt64},
+		} {
+			sim.core.MarkLent(idA, loan)
+			sim.core.TakeBack(idA, loan)
+			sim.core.MarkReturned(idA, loan)
+			sim.core.Borrow(idB, s, []cell.Loan{loan}, sim.now)
+		}
+		Convey("its tasks run, and none is borrowed", func() {
+			So(sim.runUntil(10*time.Second, func() bool { return sim.publishedStates[idA] == submission.Completed }), ShouldBeTrue)
+			So(sim.starts, ShouldEqual, 3)
+			So(sim.violations, ShouldBeEmpty)
+		})
+	})
+}
