Hold only the submission whose progress can't be read

One record of progress, crashes or unreachable executors that could not be decoded failed the takeover of its cell, and each one after it.

A submission with unreadable progress is held: nothing of it starts and none of its runs is stopped; its record stays as it is. Starting it could run a task twice.

--- a/dispatch/stray.go
+++ b/dispatch/stray.go
@@ -7,6 +7,7 @@
 
 	"github.com/peridotlock/peridotlock/fleet"
 	"github.com/peridotlock/peridotlock/provider"
+	"github.com/peridotlock/peridotlock/submission"
 )
 
 // A stray is a run that an executor lists and this owner does not expect there, for example
@@ -32,8 +33,26 @@
 	return r
 }
 
-// stopStray orders the stop of a stray. Until it has ended, it takes capacity.
+// heldStep returns the step of a task whose submission is held, or nil.
+func (c *Core) heldStep(task string) *submission.Step {
+	id, err := submission.ParseTaskID(task)
+	if err != nil {
+		return nil
+	}
+	j, ok := c.jobs[id.Submission]
+	if !ok || !j.held || j.state.IsFinal() || !j.hasTask(id.Occurrence, id.Step, id.Index) {
+		return nil
+	}
+	return &j.sub.Steps[id.Step]
+}
+
+// stopStray orders the stop of a stray, unless its submission is held. Until it has ended,
+// it takes capacity.
 func (c *Core) stopStray(e *executor, status provider.RunStatus) {
+	if spec := c.heldStep(status.Task); spec != nil {
+		e.unexpected = e.unexpected.Add(reservation(spec))
+		return
+	}
 	if t := c.findTask(status.Task); t != nil {
 		e.unexpected = e.unexpected.Add(reservation(t.step.spec))
 		e.strays = append(e.strays, t)
