--- a/dispatch/oddrestore_test.go
+++ b/dispatch/oddrestore_test.go
@@ -9,6 +9,7 @@
 	"github.com/fxamacker/cbor/v2"
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/peridotlock/peridotlock/cell"
 	"github.com/peridotlock/peridotlock/provider"
 	"github.com/peridotlock/peridotlock/submission"
 )
@@ -116,6 +117,35 @@
 	})
 }
 
+// A submission whose move or loans could not be read was started in its home cell while its
+// tasks ran elsewhere.
+func TestHeldSubmissionStartsNothing(t *testing.T) {
+	Convey("Given a running submission of which a new owner does not know where its tasks run", t, func() {
+		sim := newSimulation(2, 1)
+		sim.submit(idA, newSubmission(longRunning(2)))
+		sim.run(time.Second)
+		s, starts := sim.accepted[idA], sim.starts
+		delete(sim.accepted, idA)
+		delete(sim.stored, idA) // in the cell that places it
+		sim.replaceOwner(func() { sim.core.Hold(idA, s, true, sim.now) })
+		sim.accepted[idA] = s
+		sim.core.Submit(idA, s, sim.now)
+		sim.core.TakeBack(idA, cell.Loan{Run: 1})
+		sim.core.Borrow(idA, s, []cell.Loan{{Run: 1}}, sim.now)
+		sim.run(5 * time.Second)
+		So(sim.starts, ShouldEqual, starts)
+		So(sim.running(idA), ShouldEqual, 2)
+		So(sim.stored[idA].Value, ShouldBeEmpty)
+		Convey("its runs are stopped once it is cancelled, and this cell publishes no state of it", func() {
+			sim.publishedStates[idA] = submission.Running
+			sim.cancel(idA)
+			sim.run(2 * time.Second)
+			So(sim.running(idA), ShouldEqual, 0)
+			So(sim.publishedStates[idA], ShouldEqual, submission.Running)
+		})
+	})
+}
+
 // A record of crashes or of unreachable executors that could not be decoded failed each takeover; a
 // negative number of crashes in it ended each owner with "index out of range".
 func TestOddRecordOfCrashesOrLeasesIsSkipped(t *testing.T) {
--- a/dispatch/suspicion.go
+++ b/dispatch/suspicion.go
@@ -4,8 +4,6 @@
 	"math"
 	"slices"
 	"time"
-
-	"github.com/peridotlock/peridotlock/submission"
 )
 
 const (
@@ -56,21 +54,6 @@
 	age       time.Duration // of its run at the newest crash
 }
 
-// Bounds of what records may state.
-const (
-	maxRunNumber  = 1 << 30 // a start each millisecond for twelve days
-	maxCrashCount = 1000    // a task is given up after a few
-)
-
-// isRunNumber reports whether a record may state a number of a run; 0 stands for none.
-func isRunNumber(n int) bool { return n >= 0 && n <= maxRunNumber }
-
-// isCrashHistory reports whether a record may state a crash history.
-func isCrashHistory(crashes int, suspicion float64, ageMs int64) bool {
-	return crashes >= 0 && crashes <= maxCrashCount && suspicion >= 0 && suspicion <= 1 && // NaN is not
-		ageMs >= 0 && ageMs <= submission.MaxEstimateMs
-}
-
 func (h crashHistory) isSuspect() bool { return h.suspicion >= suspectSuspicion || h.isRepeated() }
 
 // isRepeated reports whether several executors have crashed under a suspect.
