End only its term when an owner panics

A panic while an owner or one of its followers works on its term's own state now ends that term: its state is discarded whole, one line tells value, frames, cell and what was in hand (kind, key, offset), and the cell is claimed again and restored from the stored records after 0.5 s, doubled up to 4 s. A panic while it changes state that others share still ends the process.

The tests of restores call newOwner and restore in place of newOwner alone, and check the same.

--- a/node/race_test.go
+++ b/node/race_test.go
@@ -63,10 +63,14 @@
 		So(n.submissionsFollower.CatchUp(ctx), ShouldBeNil)
 		fence, err := n.claim(ctx, progressPartition(0))
 		So(err, ShouldBeNil)
-		o, err := n.newOwner(ctx, 0, fence)
-		So(err, ShouldBeNil)
+		o := n.newOwner(ctx, 0, fence)
+		defer o.close()
+		So(o.restore(), ShouldBeNil)
 		stopped := make(chan string)
-		go func() { stopped <- o.run() }()
+		go func() {
+			reason, _ := o.run()
+			stopped <- reason
+		}()
 		time.Sleep(4 * stepInterval)
 		o.entryChanged(cell.Entry{ID: id1, Cell: 0})
 		cancel()
