End processes with a structured last line, and show restarts

A process that ended by a panic left lines without keys on standard error, the lines of its log before them could be lost in the buffer, and nothing showed its restart but the platform.

peridotlock now writes the trace to standard error, then all buffered lines, then one line with the panic's value, its first frames and the record in hand (kind, key, offset) where that is known; the main goroutines of peridotlock-scheduler and peridotlock-entry do the same. Fatal errors of the runtime and goroutines of libraries still end it without that line. A panic in a caller's request, which net/http aborts, is a line with keys. peridotlock_process_start_time_seconds, peridotlock_owner_panics_total and peridotlock_request_panics_total count; OPERATIONS has the alerts and the walk from an ended process to the record.

TestPanicsOfProgram builds the program with panics compiled in through go build -overlay and checks its last line and what mends the record; TestProgramPanic, TestRequestPanic and TestProcessStartMetric cover the rest. The first two fail without SetOutput: the last line is then one of the runtime's trace.

--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -46,9 +46,10 @@
 )
 
 // SetOutput makes End write the trace to trace and the last line to log, whose writer must
-// not buffer it, and exit. Without it, a panic goes on to the Go runtime.
-func SetOutput(log logr.Logger, trace io.Writer) {
-	current.Store(&output{log: log, trace: trace})
+// not buffer it, and exit. Without it, a panic goes on to the Go runtime. reset undoes it.
+func SetOutput(log logr.Logger, trace io.Writer) (reset func()) {
+	before := current.Swap(&output{log: log, trace: trace})
+	return func() { current.Store(before) }
 }
 
 // End ends the process if the goroutine that defers it panics. about returns keys and
