End the process when a handler panics in the replica

The server of requests recovers panics, so one in the replica, to which a handler applies the record that it has stored, left the process going on with state that may be half changed, against DESIGN 11. And the offset of the record in hand was kept in the node by the follower of the submissions, while watchers also run in handlers: a data race.

Intake ends the process in that step, and the offset comes with the entry that watchers get. TestPanicOfReplica fails without it (the process goes on).

--- a/node/term.go
+++ b/node/term.go
@@ -9,9 +9,6 @@
 	"github.com/peridotlock/peridotlock/provider"
 )
 
-// unknownOffset is the offset of a subject that is not a record.
-const unknownOffset provider.Offset = -1
-
 // subject names what a goroutine works on, for the log line of a panic. Key is that of the
 // record, submission, executor or task.
 type subject struct {
@@ -20,7 +17,7 @@
 	offset provider.Offset
 }
 
-func subjectOf(kind, key string) subject { return subject{kind, key, unknownOffset} }
+func subjectOf(kind, key string) subject { return subject{kind, key, provider.UnknownOffset} }
 
 func subjectOfRecord(kind string, r provider.KeyedRecord) subject {
 	return subject{kind, r.Key, r.Offset}
@@ -34,7 +31,7 @@
 	if s.key != "" {
 		values = append(values, "key", s.key)
 	}
-	if s.offset != unknownOffset {
+	if s.offset != provider.UnknownOffset {
 		values = append(values, "offset", s.offset)
 	}
 	return values
--- a/soak/crash_test.go
+++ b/soak/crash_test.go
@@ -192,6 +192,21 @@
 				So(len(s.lines(`msg="process ended by a panic"`)), ShouldEqual, 2)
 			})
 		})
+		Convey("a panic while it applies a record that it has stored for a caller ends it as well", func() {
+			request, err := http.NewRequest("POST", "http://"+s.vm.callers+"/q/"+string(panicsInReplica),
+				strings.NewReader(`{"spec":"x","steps":[{"count":1,"cpu":500,"memMb":100}]}`))
+			So(err, ShouldBeNil)
+			request.Host = "h.example"
+			if reply, err := http.DefaultClient.Do(request); err == nil {
+				reply.Body.Close()
+			}
+			So(s.vm.waitExit(crashTimeout), ShouldBeTrue)
+			So(s.vm.process.ProcessState.ExitCode(), ShouldEqual, crash.ExitCode)
+			lines := strings.Split(strings.TrimSpace(s.output()), "\n")
+			last := lines[len(lines)-1]
+			So(last, ShouldContainSubstring, `msg="process ended by a panic" err="injected in the replica" stack="cell.(*Replica).submit replica.go:`)
+			So(last, ShouldContainSubstring, " subject=submission key="+string(panicsInReplica))
+		})
 		Convey("a panic of an owner leaves it running, and it takes the cell up again once the record is mended", func() {
 			started := get("http://"+s.vm.operators+"/metrics", "")
 			So(started, ShouldContainSubstring, "peridotlock_process_start_time_seconds ")
