Ask for advice on executors that overdue work may use

Advice was requested only for executors that are not refused to a step. In a queue that needs advice, best-effort work that is refused everywhere had no ticket, so that it never started although it was overdue.

For an overdue step, executors that chooseOverdue would consider are named as well.

Result: TestAdviceForHarmfulImage fails on (not completed in 20 s) and passes now.

--- a/dispatch/overdue.go
+++ b/dispatch/overdue.go
@@ -61,22 +61,13 @@
 	if lenient == strict || t.isStray() {
 		return nil
 	}
-	suspect := t.crashUnit().crash.isSuspect()
 	var best *candidate
 	bestScore := 0.0
 	for _, cand := range candidates {
-		others := cand.executor.countOverdueRuns(t.step)
-		if !satisfiesConstraints(t, cand.executor) || lenient == allowHarm && others > 0 && !t.step.spec.LongRunning {
-			continue
-		}
 		if _, ok := t.step.ticketFor(cand.executor, now); !ok {
 			continue
 		}
-		score, reason := c.scoreOverdue(t, cand, lenient)
-		score -= cand.executor.crashPenalty(suspect, now) + overdueRunPenalty*float64(others)
-		if cand.executor.info.ID == t.avoidExecutor {
-			score -= avoidPenalty
-		}
+		score, reason := c.scoreOverdue(t, cand, lenient, now)
 		if reason == notRefused && (best == nil || score > bestScore) {
 			best, bestScore = cand, score
 		}
@@ -84,14 +75,27 @@
 	return best
 }
 
-func (c *Core) scoreOverdue(t *task, cand *candidate, lenient leniency) (float64, refusal) {
-	spec := t.step.spec
-	if !spec.BestEffort {
-		return c.score(spec, cand)
+// scoreOverdue scores a candidate for a task of an overdue submission, or refuses it. Tickets
+// are not considered.
+func (c *Core) scoreOverdue(t *task, cand *candidate, lenient leniency, now time.Duration) (score float64, reason refusal) {
+	spec, e := t.step.spec, cand.executor
+	others := e.countOverdueRuns(t.step)
+	if !satisfiesConstraints(t, e) || lenient == allowHarm && others > 0 && !spec.LongRunning {
+		return 0, refusedConstraint
+	}
+	if spec.BestEffort {
+		task := colocate.BestEffortTask{Image: spec.Image, MilliCPU: spec.Size.MilliCPU, Pace: 1}
+		var r colocate.Refusal
+		score, r = c.model.ScoreOverdue(task, spec.Size.MemoryMB, &cand.host, lenient == allowOvercommit)
+		reason = refusalOf(r)
+	} else {
+		score, reason = c.score(spec, cand)
+	}
+	score -= e.crashPenalty(t.crashUnit().crash.isSuspect(), now) + overdueRunPenalty*float64(others)
+	if e.info.ID == t.avoidExecutor {
+		score -= avoidPenalty
 	}
-	task := colocate.BestEffortTask{Image: spec.Image, MilliCPU: spec.Size.MilliCPU, Pace: 1}
-	score, r := c.model.ScoreOverdue(task, spec.Size.MemoryMB, &cand.host, lenient == allowOvercommit)
-	return score, refusalOf(r)
+	return score, reason
 }
 
 // countOverdueRuns returns the number of best-effort runs of other steps than st that were
--- a/dispatch/refusedwork_test.go
+++ b/dispatch/refusedwork_test.go
@@ -91,3 +91,22 @@
 		})
 	})
 }
+
+// TestAdviceForHarmfulImage guards against best-effort work that never runs since no advice is
+// requested for executors that are refused for harm.
+func TestAdviceForHarmfulImage(t *testing.T) {
+	Convey("Given a queue that needs advice and an image that is expected to harm all servers", t, func() {
+		sim := newCellOfHarmfulImage(1)
+		sim.advisor = &fakeAdvisor{}
+		for _, e := range sim.executors {
+			sim.advisor.allowed = append(sim.advisor.allowed, e.id)
+		}
+		sim.submit(idB, newSubmission(bestEffortTasks(2, "heavy", fleet.Resources{MilliCPU: 1000, MemoryMB: 500}, time.Second)))
+		sim.core.jobs[idB].needsAdvice = true
+
+		Convey("its tasks run", func() {
+			sim.runUntil(20*time.Second, func() bool { return sim.publishedStates[idB] == submission.Completed })
+			So(sim.publishedStates[idB], ShouldEqual, submission.Completed)
+		})
+	})
+}
