Ignore runs on silent executors when a submission is overdue

A submission with a run was not overdue until the lease of that run had ended, also if the run's executor had crashed long before. Nothing of it ran meanwhile.

Only runs that were planned or confirmed within maxReportAge count.

--- a/dispatch/overdue.go
+++ b/dispatch/overdue.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/peridotlock/peridotlock/colocate"
@@ -46,7 +47,7 @@
 func (c *Core) leniencyFor(st *step, candidates []*candidate, now time.Duration) leniency {
 	waited := now - st.unplacedSince
 	switch {
-	case st.unplacedSince == 0 || waited < maxRefusedWait || st.job.hasRuns() && !st.spec.LongRunning:
+	case st.unplacedSince == 0 || waited < maxRefusedWait || !st.spec.LongRunning && st.job.hasCurrentRuns(now):
 		return strict
 	case isMostlyFree(st.job.sub.Service, candidates):
 		return allowOvercommit
@@ -56,6 +57,21 @@
 	return allowHarm
 }
 
+// hasCurrentRuns reports whether a run of the job was planned or known to exist recently. Others are
+// on executors that don't answer, and may have ended long before their leases do.
+func (j *job) hasCurrentRuns(now time.Duration) bool {
+	for _, o := range j.occurrences {
+		for _, st := range o.steps {
+			if slices.ContainsFunc(st.tasks, func(t *task) bool {
+				return t.run != nil && now-max(t.run.plannedAt, t.run.confirmedAt) <= maxReportAge
+			}) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // chooseOverdue returns the candidate for a task of an overdue submission, or nil.
 func (c *Core) chooseOverdue(t *task, candidates []*candidate, lenient leniency, now time.Duration) *candidate {
 	if lenient == strict || t.isStray() {
--- a/dispatch/refusedwork_test.go
+++ b/dispatch/refusedwork_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -110,3 +111,26 @@
 		})
 	})
 }
+
+// TestLostRunKeepsSubmissionFromRunning guards against a submission that is not overdue because of
+// a run on an executor that has crashed.
+func TestLostRunKeepsSubmissionFromRunning(t *testing.T) {
+	Convey("Given an overdue submission whose only run is on an executor that crashes", t, func() {
+		sim := newCellOfHarmfulImage(1)
+		sim.submit(idB, newSubmission(bestEffortTasks(8, "heavy", fleet.Resources{MilliCPU: 1000, MemoryMB: 500}, time.Hour)))
+		So(sim.runUntil(maxIdleTime, func() bool { return sim.running(idB) > 0 }), ShouldBeTrue)
+		sim.run(time.Second)
+		for _, e := range sim.executors {
+			for _, r := range e.allRuns() {
+				if strings.HasPrefix(r.task, idB+".") {
+					e.crash()
+				}
+			}
+		}
+		So(sim.running(idB), ShouldEqual, 0)
+
+		Convey("another of its tasks is started in time", func() {
+			So(sim.longestIdleTime(idB, 15*time.Second), ShouldBeLessThan, maxReportAge+maxIdleTime)
+		})
+	})
+}
