Let overdue work start on executors that are paused after failures

After two failed runs in a row an executor gets no work for 3 to 20 s. Tasks that fail everywhere pause all executors, and while more of them come, or for the longest pause afterwards, nothing else runs: only a run that is done clears the count, and none starts.

Where at least as many suitable executors are paused as accept work, an overdue submission may also use the paused ones, those with the fewest failures first, and a run that is done there ends the pause. A minority of executors that fail stays paused.

--- a/dispatch/overdue.go
+++ b/dispatch/overdue.go
@@ -34,6 +34,10 @@
 // has no bound.
 const overdueRunPenalty = 1e7
 
+// pausedPenalty outweighs the other parts of a score, for each failed run in a row on an executor
+// that is paused for them.
+const pausedPenalty = 1e9
+
 // leniency says which reasons for refusals do not count for a step.
 type leniency byte
 
@@ -49,7 +53,7 @@
 	switch {
 	case st.unplacedSince == 0 || waited < maxRefusedWait || !st.spec.LongRunning && st.job.hasCurrentRuns(now):
 		return strict
-	case isMostlyFree(st.job.sub.Service, candidates):
+	case isMostlyFree(st.job.sub.Service, slices.Concat(candidates, c.paused)):
 		return allowOvercommit
 	case waited < maxRefusedWaitBusy && !st.spec.LongRunning:
 		return strict
@@ -72,6 +76,27 @@
 	return false
 }
 
+// pausedCandidates returns the executors that are paused after failed runs.
+func (c *Core) pausedCandidates(now time.Duration) []*candidate {
+	return c.candidatesOf(func(e *executor) bool { return c.isAvailable(e, now) && now < e.pausedUntil })
+}
+
+// overdueCandidates returns the candidates that satisfy the constraints of a task. If there are at
+// least as many paused ones, the tasks that failed there are a likelier cause than the executors,
+// and these are returned as well: all work would wait for the end of the pauses. A run that
+// is done ends the pause.
+func overdueCandidates(t *task, candidates, paused []*candidate) []*candidate {
+	isExcluded := func(cand *candidate) bool { return !satisfiesConstraints(t, cand.executor) }
+	suitable := slices.DeleteFunc(slices.Clone(candidates), isExcluded)
+	if len(paused) == 0 {
+		return suitable
+	}
+	if paused = slices.DeleteFunc(slices.Clone(paused), isExcluded); len(paused) < len(suitable) {
+		return suitable
+	}
+	return append(suitable, paused...)
+}
+
 // chooseOverdue returns the candidate for a task of an overdue submission, or nil.
 func (c *Core) chooseOverdue(t *task, candidates []*candidate, lenient leniency, now time.Duration) *candidate {
 	if lenient == strict || t.isStray() {
@@ -79,7 +104,7 @@
 	}
 	var best *candidate
 	bestScore := 0.0
-	for _, cand := range candidates {
+	for _, cand := range overdueCandidates(t, candidates, c.paused) {
 		if _, ok := t.step.ticketFor(cand.executor, now); !ok {
 			continue
 		}
@@ -91,14 +116,10 @@
 	return best
 }
 
-// scoreOverdue scores a candidate for a task of an overdue submission, or refuses it. Tickets
-// are not considered.
+// scoreOverdue scores one of the overdueCandidates for a task, or refuses it. Tickets are not
+// considered.
 func (c *Core) scoreOverdue(t *task, cand *candidate, lenient leniency, now time.Duration) (score float64, reason refusal) {
 	spec, e := t.step.spec, cand.executor
-	others := e.countOverdueRuns(t.step)
-	if !satisfiesConstraints(t, e) || lenient == allowHarm && others > 0 && !spec.LongRunning {
-		return 0, refusedConstraint
-	}
 	if spec.BestEffort {
 		task := colocate.BestEffortTask{Image: spec.Image, MilliCPU: spec.Size.MilliCPU, Pace: 1}
 		var r colocate.Refusal
@@ -107,11 +128,21 @@
 	} else {
 		score, reason = c.score(spec, cand)
 	}
+	if reason != notRefused {
+		return 0, reason
+	}
+	others := e.countOverdueRuns(t.step)
+	if lenient == allowHarm && others > 0 && !spec.LongRunning {
+		return 0, refusedHarm
+	}
+	if now < e.pausedUntil {
+		score -= pausedPenalty * float64(e.failStreak)
+	}
 	score -= e.crashPenalty(t.crashUnit().crash.isSuspect(), now) + overdueRunPenalty*float64(others)
 	if e.info.ID == t.avoidExecutor {
 		score -= avoidPenalty
 	}
-	return score, reason
+	return score, notRefused
 }
 
 // countOverdueRuns returns the number of best-effort runs of other steps than st that were
--- a/dispatch/refusedwork_test.go
+++ b/dispatch/refusedwork_test.go
@@ -134,3 +134,22 @@
 		})
 	})
 }
+
+// TestPoisonPausesAllExecutors guards against work that waits for executors on which only tasks
+// have failed that fail everywhere.
+func TestPoisonPausesAllExecutors(t *testing.T) {
+	Convey("Given a cell in which tasks that fail everywhere have failed on all executors", t, func() {
+		sim := newSimulation(6, 1)
+		sim.fails = func(_ *fakeExecutor, task string) bool { return !strings.HasPrefix(task, idB+".") }
+		for i := range 30 {
+			sim.submit(fmt.Sprintf("%016x", 0xa00+i), newSubmission(tasks(4, 100*time.Millisecond)))
+		}
+		sim.run(4 * time.Second)
+
+		Convey("another submission is started in time", func() {
+			sim.submit(idB, newSubmission(tasks(4, 500*time.Millisecond)))
+			So(sim.longestIdleTime(idB, 40*time.Second), ShouldBeLessThan, maxIdleTime)
+			So(sim.publishedStates[idB], ShouldEqual, submission.Completed)
+		})
+	})
+}
