Search executors for an overdue step less often

Each plan, every 25 ms, looked at all executors once more for each overdue step. An overload makes many submissions overdue, for which there is no room.

A step without success is looked at again after overdueRetryDelay.

--- a/dispatch/overdue.go
+++ b/dispatch/overdue.go
@@ -25,6 +25,9 @@
 	// maxRefusedWaitBusy is the same for batch work while it is not. Processors are not shared then:
 	// best-effort work waits for them in the order of rank.
 	maxRefusedWaitBusy = 10 * time.Second
+	// overdueRetryDelay is the pause after a search that found no executor. An overload makes many
+	// submissions overdue.
+	overdueRetryDelay = 250 * time.Millisecond
 	// mostCapacity is the fraction of the capacity that has to be free, as the platform defines.
 	mostCapacity = 0.5
 )
@@ -113,6 +116,9 @@
 			best, bestScore = cand, score
 		}
 	}
+	if best == nil {
+		t.step.nextOverdueAt = now + overdueRetryDelay
+	}
 	return best
 }
 
