--- a/dispatch/refusedwork_test.go
+++ b/dispatch/refusedwork_test.go
@@ -153,3 +153,38 @@
 		})
 	})
 }
+
+// TestHandoversRestartTheWait guards against work that is refused in all cells and handed over
+// between them without end, since each counts the time that it waits anew.
+func TestHandoversRestartTheWait(t *testing.T) {
+	Convey("Given two cells that refuse a best-effort image for harm, and expect room in the other one", t, func() {
+		cells := []*simulation{newCellOfHarmfulImage(1), newCellOfHarmfulImage(2)}
+		for _, sim := range cells {
+			sim.core.options.Cells = len(cells)
+		}
+		s := newSubmission(bestEffortTasks(1, "heavy", fleet.Resources{MilliCPU: 1000, MemoryMB: 500}, time.Second))
+		s.AcceptedMs = cells[0].now.Milliseconds()
+		at := 0
+		cells[at].submit(idB, s)
+
+		Convey("it runs", func() {
+			started := false
+			for end := cells[0].now + 20*time.Second; cells[0].now < end && !started; {
+				for i, sim := range cells {
+					sim.run(simulationStep)
+					started = started || sim.running(idB) > 0
+					for _, id := range sim.core.HandoverCandidates(sim.now) {
+						if i == at && sim.core.BeginHandover(id) {
+							sim.core.FinishHandover(id)
+							delete(sim.accepted, id)
+							at = 1 - at
+							cells[at].submit(idB, s)
+							break
+						}
+					}
+				}
+			}
+			So(started, ShouldBeTrue)
+		})
+	})
+}
