--- a/dispatch/overdue.go
+++ b/dispatch/overdue.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/peridotlock/peridotlock/colocate"
@@ -24,6 +25,9 @@
 	// maxRefusedWaitBusy is the same for batch work while it is not. Processors are not shared then:
 	// best-effort work waits for them in the order of rank.
 	maxRefusedWaitBusy = 10 * time.Second
+	// overdueRetryDelay is the pause after a search that found no executor. An overload makes many
+	// submissions overdue.
+	overdueRetryDelay = 250 * time.Millisecond
 	// mostCapacity is the fraction of the capacity that has to be free, as the platform defines.
 	mostCapacity = 0.5
 )
@@ -33,6 +37,10 @@
 // has no bound.
 const overdueRunPenalty = 1e7
 
+// pausedPenalty outweighs the other parts of a score, for each failed run in a row on an executor
+// that is paused for them.
+const pausedPenalty = 1e9
+
 // leniency says which reasons for refusals do not count for a step.
 type leniency byte
 
@@ -46,9 +54,9 @@
 func (c *Core) leniencyFor(st *step, candidates []*candidate, now time.Duration) leniency {
 	waited := now - st.unplacedSince
 	switch {
-	case st.unplacedSince == 0 || waited < maxRefusedWait || st.job.hasRuns() && !st.spec.LongRunning:
+	case st.unplacedSince == 0 || waited < maxRefusedWait || !st.spec.LongRunning && st.job.hasCurrentRuns(now):
 		return strict
-	case isMostlyFree(st.job.sub.Service, candidates):
+	case isMostlyFree(st.job.sub.Service, slices.Concat(candidates, c.paused)):
 		return allowOvercommit
 	case waited < maxRefusedWaitBusy && !st.spec.LongRunning:
 		return strict
@@ -56,42 +64,91 @@
 	return allowHarm
 }
 
+// hasCurrentRuns reports whether a run of the job was planned or known to exist recently. Others are
+// on executors that don't answer, and may have ended long before their leases do.
+func (j *job) hasCurrentRuns(now time.Duration) bool {
+	for _, o := range j.occurrences {
+		for _, st := range o.steps {
+			if slices.ContainsFunc(st.tasks, func(t *task) bool {
+				return t.run != nil && now-max(t.run.plannedAt, t.run.confirmedAt) <= maxReportAge
+			}) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// pausedCandidates returns the executors that are paused after failed runs.
+func (c *Core) pausedCandidates(now time.Duration) []*candidate {
+	return c.candidatesOf(func(e *executor) bool { return c.isAvailable(e, now) && now < e.pausedUntil })
+}
+
+// overdueCandidates returns the candidates that satisfy the constraints of a task. If there are at
+// least as many paused ones, the tasks that failed there are a likelier cause than the executors,
+// and these are returned as well: all work would wait for the end of the pauses. A run that
+// is done ends the pause.
+func overdueCandidates(t *task, candidates, paused []*candidate) []*candidate {
+	isExcluded := func(cand *candidate) bool { return !satisfiesConstraints(t, cand.executor) }
+	suitable := slices.DeleteFunc(slices.Clone(candidates), isExcluded)
+	if len(paused) == 0 {
+		return suitable
+	}
+	if paused = slices.DeleteFunc(slices.Clone(paused), isExcluded); len(paused) < len(suitable) {
+		return suitable
+	}
+	return append(suitable, paused...)
+}
+
 // chooseOverdue returns the candidate for a task of an overdue submission, or nil.
 func (c *Core) chooseOverdue(t *task, candidates []*candidate, lenient leniency, now time.Duration) *candidate {
 	if lenient == strict || t.isStray() {
 		return nil
 	}
-	suspect := t.crashUnit().crash.isSuspect()
 	var best *candidate
 	bestScore := 0.0
-	for _, cand := range candidates {
-		others := cand.executor.countOverdueRuns(t.step)
-		if !satisfiesConstraints(t, cand.executor) || lenient == allowHarm && others > 0 && !t.step.spec.LongRunning {
-			continue
-		}
+	for _, cand := range overdueCandidates(t, candidates, c.paused) {
 		if _, ok := t.step.ticketFor(cand.executor, now); !ok {
 			continue
 		}
-		score, reason := c.scoreOverdue(t, cand, lenient)
-		score -= cand.executor.crashPenalty(suspect, now) + overdueRunPenalty*float64(others)
-		if cand.executor.info.ID == t.avoidExecutor {
-			score -= avoidPenalty
-		}
+		score, reason := c.scoreOverdue(t, cand, lenient, now)
 		if reason == notRefused && (best == nil || score > bestScore) {
 			best, bestScore = cand, score
 		}
 	}
+	if best == nil {
+		t.step.nextOverdueAt = now + overdueRetryDelay
+	}
 	return best
 }
 
-func (c *Core) scoreOverdue(t *task, cand *candidate, lenient leniency) (float64, refusal) {
-	spec := t.step.spec
-	if !spec.BestEffort {
-		return c.score(spec, cand)
+// scoreOverdue scores one of the overdueCandidates for a task, or refuses it. Tickets are not
+// considered.
+func (c *Core) scoreOverdue(t *task, cand *candidate, lenient leniency, now time.Duration) (score float64, reason refusal) {
+	spec, e := t.step.spec, cand.executor
+	if spec.BestEffort {
+		task := colocate.BestEffortTask{Image: spec.Image, MilliCPU: spec.Size.MilliCPU, Pace: 1}
+		var r colocate.Refusal
+		score, r = c.model.ScoreOverdue(task, spec.Size.MemoryMB, &cand.host, lenient == allowOvercommit)
+		reason = refusalOf(r)
+	} else {
+		score, reason = c.score(spec, cand)
+	}
+	if reason != notRefused {
+		return 0, reason
+	}
+	others := e.countOverdueRuns(t.step)
+	if lenient == allowHarm && others > 0 && !spec.LongRunning {
+		return 0, refusedHarm
+	}
+	if now < e.pausedUntil {
+		score -= pausedPenalty * float64(e.failStreak)
+	}
+	score -= e.crashPenalty(t.crashUnit().crash.isSuspect(), now) + overdueRunPenalty*float64(others)
+	if e.info.ID == t.avoidExecutor {
+		score -= avoidPenalty
 	}
-	task := colocate.BestEffortTask{Image: spec.Image, MilliCPU: spec.Size.MilliCPU, Pace: 1}
-	score, r := c.model.ScoreOverdue(task, spec.Size.MemoryMB, &cand.host, lenient == allowOvercommit)
-	return score, refusalOf(r)
+	return score, notRefused
 }
 
 // countOverdueRuns returns the number of best-effort runs of other steps than st that were
--- a/dispatch/refusedwork_test.go
+++ b/dispatch/refusedwork_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -91,3 +92,99 @@
 		})
 	})
 }
+
+// TestAdviceForHarmfulImage guards against best-effort work that never runs since no advice is
+// requested for executors that are refused for harm.
+func TestAdviceForHarmfulImage(t *testing.T) {
+	Convey("Given a queue that needs advice and an image that is expected to harm all servers", t, func() {
+		sim := newCellOfHarmfulImage(1)
+		sim.advisor = &fakeAdvisor{}
+		for _, e := range sim.executors {
+			sim.advisor.allowed = append(sim.advisor.allowed, e.id)
+		}
+		sim.submit(idB, newSubmission(bestEffortTasks(2, "heavy", fleet.Resources{MilliCPU: 1000, MemoryMB: 500}, time.Second)))
+		sim.core.jobs[idB].needsAdvice = true
+
+		Convey("its tasks run", func() {
+			sim.runUntil(20*time.Second, func() bool { return sim.publishedStates[idB] == submission.Completed })
+			So(sim.publishedStates[idB], ShouldEqual, submission.Completed)
+		})
+	})
+}
+
+// TestLostRunKeepsSubmissionFromRunning guards against a submission that is not overdue because of
+// a run on an executor that has crashed.
+func TestLostRunKeepsSubmissionFromRunning(t *testing.T) {
+	Convey("Given an overdue submission whose only run is on an executor that crashes", t, func() {
+		sim := newCellOfHarmfulImage(1)
+		sim.submit(idB, newSubmission(bestEffortTasks(8, "heavy", fleet.Resources{MilliCPU: 1000, MemoryMB: 500}, time.Hour)))
+		So(sim.runUntil(maxIdleTime, func() bool { return sim.running(idB) > 0 }), ShouldBeTrue)
+		sim.run(time.Second)
+		for _, e := range sim.executors {
+			for _, r := range e.allRuns() {
+				if strings.HasPrefix(r.task, idB+".") {
+					e.crash()
+				}
+			}
+		}
+		So(sim.running(idB), ShouldEqual, 0)
+
+		Convey("another of its tasks is started in time", func() {
+			So(sim.longestIdleTime(idB, 15*time.Second), ShouldBeLessThan, maxReportAge+maxIdleTime)
+		})
+	})
+}
+
+// TestPoisonPausesAllExecutors guards against work that waits for executors on which only tasks
+// have failed that fail everywhere.
+func TestPoisonPausesAllExecutors(t *testing.T) {
+	Convey("Given a cell in which tasks that fail everywhere have failed on all executors", t, func() {
+		sim := newSimulation(6, 1)
+		sim.fails = func(_ *fakeExecutor, task string) bool { return !strings.HasPrefix(task, idB+".") }
+		for i := range 30 {
+			sim.submit(fmt.Sprintf("%016x", 0xa00+i), newSubmission(tasks(4, 100*time.Millisecond)))
+		}
+		sim.run(4 * time.Second)
+
+		Convey("another submission is started in time", func() {
+			sim.submit(idB, newSubmission(tasks(4, 500*time.Millisecond)))
+			So(sim.longestIdleTime(idB, 40*time.Second), ShouldBeLessThan, maxIdleTime)
+			So(sim.publishedStates[idB], ShouldEqual, submission.Completed)
+		})
+	})
+}
+
+// TestHandoversRestartTheWait guards against work that is refused in all cells and handed over
+// between them without end, since each counts the time that it waits anew.
+func TestHandoversRestartTheWait(t *testing.T) {
+	Convey("Given two cells that refuse a best-effort image for harm, and expect room in the other one", t, func() {
+		cells := []*simulation{newCellOfHarmfulImage(1), newCellOfHarmfulImage(2)}
+		for _, sim := range cells {
+			sim.core.options.Cells = len(cells)
+		}
+		s := newSubmission(bestEffortTasks(1, "heavy", fleet.Resources{MilliCPU: 1000, MemoryMB: 500}, time.Second))
+		s.AcceptedMs = cells[0].now.Milliseconds()
+		at := 0
+		cells[at].submit(idB, s)
+
+		Convey("it runs", func() {
+			started := false
+			for end := cells[0].now + 20*time.Second; cells[0].now < end && !started; {
+				for i, sim := range cells {
+					sim.run(simulationStep)
+					started = started || sim.running(idB) > 0
+					for _, id := range sim.core.HandoverCandidates(sim.now) {
+						if i == at && sim.core.BeginHandover(id) {
+							sim.core.FinishHandover(id)
+							delete(sim.accepted, id)
+							at = 1 - at
+							cells[at].submit(idB, s)
+							break
+						}
+					}
+				}
+			}
+			So(started, ShouldBeTrue)
+		})
+	})
+}
