--- a/node/oddentries_test.go
+++ b/node/oddentries_test.go
@@ -1,11 +1,14 @@
 package node
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr/funcr"
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/peridotlock/peridotlock/boottime"
@@ -14,7 +17,8 @@
 
 const (
 	oddEntries     = 1200
-	oddChanges     = 30 // in each step
+	ghosts         = 300 // well-formed entries of executors that do not exist
+	oddChanges     = 30  // in each step
 	oddEntriesTime = 6 * time.Second
 	oddEntriesStep = 250 * time.Millisecond
 )
@@ -76,3 +80,51 @@
 		})
 	})
 }
+
+// One line for each of them was logged when the first call failed, and state of each was kept.
+func TestExecutorsThatNeverAnswerAreCalledRarely(t *testing.T) {
+	Convey("Given hundreds of listed executors at which nothing listens", t, func() {
+		c := newStore(t, 1)
+		c.addExecutor("i-0", "r1", 100*time.Millisecond)
+		good := standin.NewExecutor("odd", 0).RegistryEntry("s", "127.0.0.1:1", "d")
+		lines := 0
+		n := c.newNode("vm-0", funcr.New(func(_, args string) {
+			if strings.Contains(args, "dependency lost") {
+				lines++
+			}
+		}, funcr.Options{}))
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		go func() { done <- n.Run(ctx) }()
+		v := &vm{node: n, callers: n.vm.Callers, readiness: n.vm.Readiness}
+		So(eventually(v.ready), ShouldBeTrue)
+		status, _ := v.call("POST", "/q/"+id1, batchSubmission)
+		So(status, ShouldEqual, 200)
+		So(eventually(v.hasState(id1, "completed")), ShouldBeTrue)
+		for i := range ghosts {
+			c.store.Put("servers", fmt.Sprintf("odd-%d", i), good)
+		}
+		const settle, span = 6 * time.Second, 3 * time.Second
+		time.Sleep(settle)
+		failures := n.set.GetOrCreateCounter(`peridotlock_call_failures_total{peer="executor"}`)
+		before := failures.Get()
+		time.Sleep(span)
+		calls := int(failures.Get() - before)
+		for i := range ghosts {
+			c.store.Put("servers", fmt.Sprintf("odd-%d", i), "")
+		}
+		// An owner keeps executors for the longest lease of an earlier owner.
+		callsEnd := eventually(func() bool {
+			last := failures.Get()
+			time.Sleep(2 * unseenRetryDelay)
+			return failures.Get() == last
+		})
+		cancel()
+		So(<-done, ShouldBeNil)
+		Convey("they are called once in unseenRetryDelay at most, are logged at a bounded rate, and not called once they are gone", func() {
+			So(calls, ShouldBeBetween, ghosts, ghosts*int(span/unseenRetryDelay)+ghosts)
+			So(lines, ShouldBeLessThanOrEqualTo, maxLostLines*int(settle/time.Second))
+			So(callsEnd, ShouldBeTrue)
+		})
+	})
+}
