--- /dev/null
+++ b/dispatch/fuzz_test.go
@@ -0,0 +1,50 @@
+package dispatch
+
+import (
+	"bytes"
+	"math"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/peridotlock/peridotlock/provider"
+	"github.com/peridotlock/peridotlock/submission"
+)
+
+// FuzzRestore checks that no stored record ends an owner or has a task of another submission run
+// twice or not at all.
+func FuzzRestore(f *testing.F) {
+	for _, value := range oddProgress() {
+		f.Add(idA, value, unreachableKey, []byte{0xff})
+	}
+	crash := taskCrashes{Task: idA + ".0.0.0", Crashes: -1, Suspicion: math.NaN()}
+	f.Add(crashesKey, encode(crashes{Tasks: []taskCrashes{crash}, Silent: []silentCrash{{Executor: "i-0", Shares: []taskCrashes{crash}}}}),
+		unreachableKey, encode(unreachable{Executors: []unreachableExecutor{{ID: "i-0", LeaseMs: -1}, {ID: "i-1", LeaseMs: math.MaxInt64}}}))
+	f.Add(idA, encode(progress{State: byte(submission.Running), Tasks: []taskProgress{{Run: 1, Executor: "i-9"}}}), crashesKey,
+		encode(crashes{Instances: []executorInstance{{Executor: "i-9", StartTimeMs: -1, Address: "i-0"}}}))
+	f.Fuzz(func(t *testing.T, key1 string, value1 []byte, key2 string, value2 []byte) {
+		sim := newSimulation(2, 1)
+		sim.oddRecords = true
+		sim.submit(idA, newSubmission(longRunning(2)))
+		sim.submit(idB, newSubmission(longRunning(2)))
+		sim.run(time.Second)
+		for key, value := range map[string][]byte{key1: value1, key2: value2} {
+			if key == idB || bytes.Contains(value, []byte(idB)) {
+				return // it may state anything about the other submission
+			}
+			sim.stored[key] = provider.KeyedRecord{Key: key, Value: value}
+		}
+		sim.takeOver()
+		sim.run(3 * time.Second)
+		sim.takeOver()
+		sim.run(3 * time.Second)
+		if n := sim.running(idB); n != 2 {
+			t.Fatalf("%d runs of the other submission, want 2", n)
+		}
+		for _, v := range sim.violations {
+			if strings.Contains(v, idB) {
+				t.Error(v)
+			}
+		}
+	})
+}
