Let long-running best-effort tasks share processors

While less than half of the capacity was free, an overdue long-running best-effort task still waited for processors that other best-effort tasks use, and these may run for ever.

--- a/dispatch/overdue.go
+++ b/dispatch/overdue.go
@@ -12,21 +12,21 @@
 // harm to servers and for processors that others use, any task for suspects beside it, and a
 // task that has failed there. None of this improves while a task waits: an image without runs
 // has no readings that could correct its estimate, a server may be above its target by its
-// own load, a suspect may run for long, and there may be no other executor. A submission none of whose tasks runs is therefore overdue after
-// some time. It then gets one run at a time, or one gang, on the executors with room where the
-// least is expected to go wrong. Long-running tasks are overdue one by one, whether others of
-// their submission run or not. The paces of best-effort runs follow the readings there as
-// everywhere else.
+// own load, a suspect may run for long, and there may be no other executor. A submission none
+// of whose tasks runs is therefore overdue after some time. It then gets one run at a time, or
+// one gang, on the executors with room where the least is expected to go wrong. Long-running
+// tasks are overdue one by one, whether others of their submission run or not. The paces of
+// best-effort runs follow the readings there as everywhere else.
 const (
 	// maxRefusedWait is the time after which a submission is overdue while most capacity is
 	// free. The platform wants a task to run within 3 s, of which storing and starting take
 	// up to one.
 	maxRefusedWait = 1500 * time.Millisecond
-	// maxRefusedWaitBusy is the same for batch work while it is not. Processors are not shared then:
-	// best-effort work waits for them in the order of rank.
+	// maxRefusedWaitBusy is the same for batch work while it is not. Processors are not shared
+	// then: best-effort work waits for them in the order of rank.
 	maxRefusedWaitBusy = 10 * time.Second
-	// overdueRetryDelay is the pause after a search that found no executor. An overload makes many
-	// submissions overdue.
+	// overdueRetryDelay is the pause after a search that found no executor. An overload makes
+	// many submissions overdue.
 	overdueRetryDelay = 250 * time.Millisecond
 	// mostCapacity is the fraction of the capacity that has to be free, as the platform defines.
 	mostCapacity = 0.5
@@ -46,7 +46,7 @@
 
 const (
 	strict          leniency = iota
-	allowHarm                // expected harm, servers above their targets, and suspects
+	allowHarm                // expected harm, servers above their targets, suspects, and failures
 	allowOvercommit          // these, and processors that best-effort tasks use
 )
 
@@ -56,9 +56,9 @@
 	switch {
 	case st.unplacedSince == 0 || waited < maxRefusedWait || !st.spec.LongRunning && st.job.hasCurrentRuns(now):
 		return strict
-	case isMostlyFree(st.job.sub.Service, slices.Concat(candidates, c.paused)):
+	case st.spec.LongRunning || isMostlyFree(st.job.sub.Service, slices.Concat(candidates, c.paused)):
 		return allowOvercommit
-	case waited < maxRefusedWaitBusy && !st.spec.LongRunning:
+	case waited < maxRefusedWaitBusy:
 		return strict
 	}
 	return allowHarm
@@ -138,7 +138,7 @@
 		return 0, reason
 	}
 	others := e.countOverdueRuns(t.step)
-	if lenient == allowHarm && others > 0 && !spec.LongRunning {
+	if lenient == allowHarm && others > 0 {
 		return 0, refusedHarm
 	}
 	if now < e.pausedUntil {
