--- a/dispatch/refusedwork_test.go
+++ b/dispatch/refusedwork_test.go
@@ -188,3 +188,31 @@
 		})
 	})
 }
+
+// TestWorkWithoutExecutorsInItsCell guards against a submission that waits for ever in a cell
+// without executors of the label that its tasks require.
+func TestWorkWithoutExecutorsInItsCell(t *testing.T) {
+	Convey("Given one of two cells, and a submission that requires a label that it lacks", t, func() {
+		sim := newSimulation(2, 1)
+		sim.core.options.Cells = 2
+		step := tasks(1, time.Second)
+		step.RequiredLabel = "elsewhere"
+		sim.submit(idB, newSubmission(step))
+		sim.submit(idC, newSubmission(tasks(1, time.Second)))
+
+		Convey("it is offered to the other cell for as long as it waits", func() {
+			sim.run(20 * time.Second)
+			So(sim.core.HandoverCandidates(sim.now), ShouldResemble, []submission.ID{idB})
+			So(sim.core.HandoverCandidates(sim.now), ShouldBeEmpty)
+			sim.run(handoverRetryDelay)
+			So(sim.core.HandoverCandidates(sim.now), ShouldResemble, []submission.ID{idB})
+		})
+	})
+	Convey("The labels of a cell include those of executors that accept no work now", t, func() {
+		sim := newSimulation(2, 1)
+		sim.run(time.Second)
+		sim.core.SetEvacuated(map[string]bool{"d": true})
+		_, _, _, labels := sim.core.FreeCapacity(sim.now)
+		So(labels, ShouldResemble, []string{"a", "r1"})
+	})
+}
