--- a/node/term_test.go
+++ b/node/term_test.go
@@ -217,7 +217,7 @@
 func TestPanicOfExecutorFollower(t *testing.T) {
 	Convey("An entry of the executor list that makes its follower panic ends the owner's term, and the line names the entry", t, func() {
 		c := newCluster(t, 0, 50*time.Millisecond)
-		log := newFaultyLog(c, `"msg"="record skipped" "topic"="keyed.servers" "key"="i-bad"`)
+		log := newFaultyLog(c, `"msg"="record skipped" "topic"="servers" "key"="i-bad"`)
 		vm := c.start("vm-0")
 		So(eventually(vm.ready), ShouldBeTrue)
 		c.store.Put("servers", "i-bad", "{")
