Test long-running work while owners change often

Each owner waited handoverUntil from its own start for a cell with room for all tasks of a long-running submission, and started none of them meanwhile. With a new owner every 3 s, nothing of such a submission ran.

--- a/dispatch/refusedwork_test.go
+++ b/dispatch/refusedwork_test.go
@@ -216,3 +216,27 @@
 		So(labels, ShouldResemble, []string{"a", "r1"})
 	})
 }
+
+// TestOwnersRestartTheHandover guards against long-running work of which nothing runs while owners
+// change, since each one waits anew for a cell with room for all of its tasks.
+func TestOwnersRestartTheHandover(t *testing.T) {
+	Convey("Given one of two cells, with room for some of the tasks of a long-running submission", t, func() {
+		sim := newSimulation(2, 1)
+		sim.core.options.Cells = 2
+		lasting := longRunning(4)
+		lasting.Size = fleet.Resources{MilliCPU: 5000, MemoryMB: 500}
+		s := newSubmission(lasting)
+		s.AcceptedMs = sim.now.Milliseconds() + 1
+		sim.submit(idB, s)
+
+		Convey("these run although each owner lasts for less than handoverUntil", func() {
+			for range 6 {
+				sim.run(handoverUntil - time.Second)
+				sim.takeOver()
+				sim.core.options.Cells = 2
+			}
+			So(sim.running(idB), ShouldEqual, 2)
+			So(sim.violations, ShouldBeEmpty)
+		})
+	})
+}
