--- a/dispatch/earlierinstance_test.go
+++ b/dispatch/earlierinstance_test.go
@@ -276,3 +276,37 @@
 		So(sim.starts, ShouldEqual, 2)
 	})
 }
+
+// TestSuspicionOfStartWithLongerLease guards against suspicions that stay after an executor was only
+// cut off: its runs are lost at one time, and a start without an answer later.
+func TestSuspicionOfStartWithLongerLease(t *testing.T) {
+	Convey("Given an executor that is cut off with a run and a start without an answer", t, func() {
+		sim := newSimulation(2, 1)
+		victim, other := sim.executors[0], sim.executors[1]
+		sim.run(30 * time.Second)
+		other.draining = true
+		sim.run(simulationStep)
+		sim.submit(idA, newSubmission(longRunning(1)))
+		So(sim.runUntil(time.Second, func() bool { return len(victim.runs) == 1 }), ShouldBeTrue)
+		sim.run(time.Second)
+		sim.lossRate = 1
+		sim.callTimeout = simulationCallTimeout
+		sim.submit(idB, newSubmission(longRunning(1)))
+		So(sim.runUntil(time.Second, func() bool { return len(sim.openCalls) == 1 }), ShouldBeTrue)
+		sim.openCalls[0].receivableAt = sim.now + time.Hour
+		victim.partitioned = true
+		run, start := sim.core.findTask(idA+".0.0.0"), sim.core.findTask(idB+".0.0.0")
+
+		Convey("both are suspected, the start after the longest lease, and neither once it is back", func() {
+			So(sim.runUntil(2*maxLease, func() bool { return run.crash.suspicion > 0 }), ShouldBeTrue)
+			So(start.crash.suspicion, ShouldEqual, 0)
+			since := sim.now
+			So(sim.runUntil(2*maxLease, func() bool { return start.crash.suspicion > 0 }), ShouldBeTrue)
+			So(sim.now-since, ShouldBeGreaterThan, time.Second)
+			victim.partitioned = false
+			sim.run(time.Second)
+			So(run.crash.suspicion, ShouldEqual, 0)
+			So(start.crash.suspicion, ShouldEqual, 0)
+		})
+	})
+}
