--- a/node/oddentries_test.go
+++ b/node/oddentries_test.go
@@ -39,7 +39,6 @@
 func TestOddEntriesCostOnlyThemselves(t *testing.T) {
 	Convey("Given hundreds of odd entries that appear, change and go, also in place of good ones", t, func() {
 		c := newStore(t, 8)
-		c.store.Page = 500 // as the platform's: the layout is decided from two reads within 2 s
 		rng := rand.New(rand.NewPCG(1, 1))
 		good := standin.NewExecutor("odd", 0).RegistryEntry("s", "127.0.0.1:1", "d")
 		c.store.PutOddEntries(rng, oddEntries, oddEntries, good)
