--- a/node/oddentries_test.go
+++ b/node/oddentries_test.go
@@ -43,6 +43,10 @@
 		rng := rand.New(rand.NewPCG(1, 1))
 		good := standin.NewExecutor("odd", 0).RegistryEntry("s", "127.0.0.1:1", "d")
 		c.store.PutOddEntries(rng, oddEntries, oddEntries, good)
+		for i := range ghosts {
+			other := strings.Replace(good, `"backend":"s"`, `"backend":"another"`, 1)
+			c.store.Put("servers", fmt.Sprintf("other-%d", i), strings.Replace(other, `"r1"`, fmt.Sprintf(`"other-%d"`, i), 1))
+		}
 		for i := range 3 {
 			c.addExecutor(fmt.Sprintf("i-%d", i), "r1", 200*time.Millisecond)
 		}
