--- a/colocate/limits_test.go
+++ b/colocate/limits_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/peridotlock/peridotlock/fleet"
 )
 
 // TestExtremeReadings guards against readings after which a service counts as never or always congested.
@@ -232,3 +234,21 @@
 		}
 	})
 }
+
+// TestScoreOfHostWithoutProcessors guards against scores that are no number, next to which a host
+// that fits well is never the best.
+func TestScoreOfHostWithoutProcessors(t *testing.T) {
+	Convey("Given a host that has shrunk to no processors, and a task that uses none", t, func() {
+		m, h := NewModel(), &Host{Size: fleet.Resources{MemoryMB: 4000}}
+		task := BestEffortTask{Image: "light", Pace: 1}
+
+		Convey("all its scores are numbers", func() {
+			reserved, ok := m.ScoreReserved(fleet.Resources{MemoryMB: 1000}, h)
+			So(ok && isFinite(reserved), ShouldBeTrue)
+			score, _ := m.ScoreBestEffort(task, 1000, h)
+			So(math.IsNaN(score), ShouldBeFalse)
+			score, _ = m.ScoreOverdue(task, 1000, h, true)
+			So(isFinite(score), ShouldBeTrue)
+		})
+	})
+}
