Keep the wait of repeated suspects for executors without others

Overdue submissions had come to include tasks under which several executors have crashed, which then started beside other work after 1.5 s. Their own wait is bounded by 15 s.

A line overdue names each run that was planned in spite of a refusal.

--- a/dispatch/overdue.go
+++ b/dispatch/overdue.go
@@ -122,6 +122,12 @@
 	return best
 }
 
+// markOverdue notes that a planned run is one of an overdue submission.
+func (c *Core) markOverdue(r *run) {
+	r.overdue = true
+	c.addEvent("overdue", r, "its executor was refused to it", 0)
+}
+
 // scoreOverdue scores one of the overdueCandidates for a task, or refuses it. Tickets are not
 // considered.
 func (c *Core) scoreOverdue(t *task, cand *candidate, lenient leniency, now time.Duration) (score float64, reason refusal) {
@@ -137,6 +143,9 @@
 	if reason != notRefused {
 		return 0, reason
 	}
+	if t.crashUnit().crash.isRepeated() && !t.mayJoin(cand, now) {
+		return 0, refusedSuspects // it would likely take the work there along; its wait has a bound of its own
+	}
 	others := e.countOverdueRuns(t.step)
 	if lenient == allowHarm && others > 0 {
 		return 0, refusedHarm
