--- a/node/term.go
+++ b/node/term.go
@@ -59,7 +59,7 @@
 }
 
 // protect runs f and returns its panic. If f was at work on shared state, the panic goes on
-// and ends the process, since nobody knows what that state is now.
+// and ends the process: that state may be half changed.
 func (a *activity) protect(f func()) (ended *termPanic) {
 	defer func() {
 		v := recover()
