--- a/dispatch/lendwait_test.go
+++ b/dispatch/lendwait_test.go
@@ -46,3 +46,57 @@
 		})
 	})
 }
+
+// TestLastingSubmissionMissesItsHandover guards against a long-running submission of which nothing
+// runs for ever: no cell had room for it in the time in which it may be handed over.
+func TestLastingSubmissionMissesItsHandover(t *testing.T) {
+	Convey("Given one of two cells that is full of long-running tasks", t, func() {
+		sim := newSimulation(1, 1)
+		sim.core.options.Cells = 2
+		sim.submit(idA, newSubmission(sized(longRunning(1), 8000)))
+		sim.run(2 * time.Second)
+		So(sim.running(idA), ShouldEqual, 1)
+
+		Convey("the tasks of another long-running submission can be lent once it can't be handed over", func() {
+			sim.submit(idB, newSubmission(sized(longRunning(1), 2000)))
+			loaned, ok := sim.firstLend(handoverUntil + maxIdleTime)
+			So(ok, ShouldBeTrue)
+			So(string(loaned.ID), ShouldEqual, idB)
+			So(loaned.Reserved, ShouldBeFalse)
+
+			Convey("which keeps the submission here, also with a new owner", func() {
+				sim.core.MarkLent(idB, loaned.Loan)
+				sim.run(simulationStep)
+				So(sim.publishedStates[idB], ShouldEqual, submission.Running)
+				So(sim.core.BeginHandover(idB), ShouldBeFalse)
+				sim.replaceOwner(func() { sim.core.MarkLent(idB, loaned.Loan) })
+				So(sim.core.BeginHandover(idB), ShouldBeFalse)
+				So(sim.violations, ShouldBeEmpty)
+			})
+		})
+	})
+}
+
+// TestBatchWorkMissesItsHandover guards against a submission that waits for ever behind long-running
+// tasks that fill its cell: no cell had room for it in the time in which it may be handed over.
+func TestBatchWorkMissesItsHandover(t *testing.T) {
+	gang := tasks(3, time.Second)
+	gang.Gang = true
+	for _, work := range []submission.Step{sized(tasks(1, time.Second), 1500), gang} {
+		Convey("Given one of two cells whose long-running tasks leave too little room for a submission", t, func() {
+			sim := newSimulation(2, 1)
+			sim.core.options.Cells = 2
+			servers := sized(longRunning(2), 7000)
+			servers.MaxPerExecutor = 1
+			sim.submit(idA, newSubmission(servers))
+			sim.run(2 * time.Second)
+			So(sim.running(idA), ShouldEqual, 2)
+			sim.submit(idB, newSubmission(work))
+
+			Convey("it is offered to the other cell for as long as it waits", func() {
+				sim.run(20 * time.Second)
+				So(sim.core.HandoverCandidates(sim.now), ShouldResemble, []submission.ID{idB})
+			})
+		})
+	}
+}
