Let overdue work use room that is reserved behind long batch work

Seen by callers: where all executors are reserved for large long-running tasks that wait for batch work to end, smaller work waits for as long as that batch work lasts, although most capacity is free. Cause: a reservation counts as use, for the choice of an executor and for whether most capacity is free. Evidence: TestReservationsKeepOthersWaiting, a batch task and a long-running one, failed before: no start in 3 s.

Overdue work that may share processors may also use reserved room; only runs count as use when it is judged whether most capacity is free.

--- a/dispatch/lendwait_test.go
+++ b/dispatch/lendwait_test.go
@@ -100,3 +100,26 @@
 		})
 	}
 }
+
+// TestReservationsKeepOthersWaiting guards against work that waits for as long as the batch work
+// behind which all executors are reserved for larger tasks.
+func TestReservationsKeepOthersWaiting(t *testing.T) {
+	for _, small := range []submission.Step{tasks(1, time.Second), longRunning(1)} {
+		Convey("Given executors that are reserved for long-running tasks behind long batch work", t, func() {
+			sim := newSimulation(4, 1)
+			batch := sized(tasks(4, time.Hour), 3000)
+			batch.MaxPerExecutor = 1
+			sim.submit(idA, newSubmission(batch))
+			sim.run(time.Second)
+			So(sim.running(idA), ShouldEqual, 4)
+			sim.submit(idB, newSubmission(sized(longRunning(4), 6000)))
+			sim.run(time.Second)
+
+			Convey("smaller tasks are started in time", func() {
+				sim.submit(idC, newSubmission(small))
+				So(sim.runUntil(maxIdleTime, func() bool { return sim.running(idC) == 1 }), ShouldBeTrue)
+				So(sim.violations, ShouldBeEmpty)
+			})
+		})
+	}
+}
--- a/dispatch/overdue.go
+++ b/dispatch/overdue.go
@@ -10,9 +10,10 @@
 
 // Executors are refused to tasks for what is expected of these: best-effort tasks for
 // harm to servers and for processors that others use, any task for suspects beside it, and a
-// task that has failed there. None of this improves while a task waits: an image without runs
-// has no readings that could correct its estimate, a server may be above its target by its
-// own load, a suspect may run for long, and there may be no other executor. A submission none
+// task that has failed there, and smaller tasks for the reservation of a larger one. None of this
+// improves while a task waits: an image without runs has no readings that could correct its estimate,
+// a server may be above its target by its own load, a suspect may run for long, as may the batch work
+// behind which a reservation waits, and there may be no other executor. A submission none
 // of whose tasks runs is therefore overdue after some time. It then gets one run at a time, or
 // one gang, on the executors with room where the least is expected to go wrong. Long-running
 // tasks are overdue one by one, whether others of their submission run or not. The paces of
@@ -47,7 +48,7 @@
 const (
 	strict          leniency = iota
 	allowHarm                // expected harm, servers above their targets, suspects, and failures
-	allowOvercommit          // these, and processors that best-effort tasks use
+	allowOvercommit          // these, reservations, and processors that best-effort tasks use
 )
 
 // leniencyFor returns the leniency for the next task of a step that is refused all candidates.
@@ -132,6 +133,9 @@
 // considered.
 func (c *Core) scoreOverdue(t *task, cand *candidate, lenient leniency, now time.Duration) (score float64, reason refusal) {
 	spec, e := t.step.spec, cand.executor
+	if lenient == allowOvercommit {
+		cand = cand.withoutReservation()
+	}
 	if spec.BestEffort {
 		task := colocate.BestEffortTask{Image: spec.Image, MilliCPU: spec.Size.MilliCPU, Pace: 1}
 		var r colocate.Refusal
@@ -160,6 +164,14 @@
 	return score, notRefused
 }
 
+// withoutReservation returns a copy of a candidate with the room that only runs leave free.
+func (cand *candidate) withoutReservation() *candidate {
+	out := *cand
+	out.host.Reserved = out.host.Reserved.Sub(out.reservation)
+	out.reservation = fleet.Resources{}
+	return &out
+}
+
 // countOverdueRuns returns the number of best-effort runs of other steps than st that were
 // started although the executor was refused to them. It is 0 if st is not best-effort.
 func (e *executor) countOverdueRuns(st *step) int {
@@ -178,7 +190,7 @@
 	for _, cand := range candidates {
 		if cand.executor.info.Service == service {
 			size = size.Add(cand.host.Size)
-			reserved = reserved.Add(cand.host.Reserved)
+			reserved = reserved.Add(cand.host.Reserved).Sub(cand.reservation)
 		}
 	}
 	limit := 1 - mostCapacity
