Lend returned tasks within the time in which they have to run again

Seen by callers: a long-running task that several cells have returned waits up to 8 s before it is lent again, beyond the 3 s in which the platform expects it to run; and it is lent to the two cells with the largest gaps in turn, without end, if it can't use these, never to a third one with a smaller gap that it could use. Cause: the wait doubled with each unused loan, whichever cell would get the task, and only the newest refuser was avoided.

A returned task is lent at once to a cell that has not returned it since its last run, and 2 s later to the others, the oldest return first. The chain of returns is read from the records, so that a new owner knows it as well.

--- a/node/fuzz_test.go
+++ b/node/fuzz_test.go
@@ -68,7 +68,8 @@
 			o.core.Commit(batch, f.now)
 			o.core.HandoverCandidates(f.now)
 			for _, c := range append(o.core.LendCandidates(f.now), o.core.ReturnCandidates(f.now)...) {
-				f.n.submissions.ReserveGap(o.gapRequest(c))
+				e, _ := f.n.submissions.Lookup(c.ID)
+				f.n.submissions.ReserveGap(o.gapRequest(c, e))
 			}
 		}
 	}
