--- a/dispatch/refusedwork_test.go
+++ b/dispatch/refusedwork_test.go
@@ -240,3 +240,33 @@
 		})
 	})
 }
+
+// TestFailedTaskKeepsOthersWaiting guards against tasks that wait behind one that may not use the only
+// executor with room, for as long as others of their submission run.
+func TestFailedTaskKeepsOthersWaiting(t *testing.T) {
+	Convey("Given a submission with a long task, and tasks that wait since two executors are full", t, func() {
+		sim := newSimulation(2, 1)
+		room := sim.executors[0].size
+		sim.executors[0].size.MilliCPU = 500
+		sim.submit(idA, newSubmission(sized(longRunning(1), 8000)))
+		sim.submit(idB, newSubmission(tasks(3, 500*time.Millisecond), sized(tasks(1, time.Hour), 400)))
+		sim.run(2 * time.Second)
+		So(sim.running(idA), ShouldEqual, 1)
+		So(sim.running(idB), ShouldEqual, 1)
+
+		Convey("when an executor on which the first of them has failed gets room, the others run there", func() {
+			waiting := sim.core.jobs[idB].occurrence(0).steps[0].waiting
+			So(len(waiting), ShouldEqual, 3)
+			waiting[0].avoidExecutor, waiting[1].avoidExecutor = "i-0", "i-1"
+			waiting[2].avoidExecutor = "i-0"
+			sim.executors[0].size = room
+			So(sim.runUntil(maxIdleTime, func() bool { return sim.completed[idB+".0.0.1"] }), ShouldBeTrue)
+			So(len(sim.core.jobs[idB].occurrence(0).steps[0].waiting), ShouldEqual, 2)
+
+			Convey("and it returns there if no other gets room", func() {
+				So(sim.runUntil(2*maxAvoidedWait, func() bool { return sim.completed[idB+".0.0.0"] && sim.completed[idB+".0.0.2"] }), ShouldBeTrue)
+				So(sim.violations, ShouldBeEmpty)
+			})
+		})
+	})
+}
