Choose cells by the load of a submission's service

Seen by callers: with executors of several services, a submission can move to a cell, or be accepted into one, in which only executors of other services are free, and waits there; a cell with room for it can be passed over. Cause: cells published their free capacity and labels over all services (gaps for loans name the service). Evidence: TestCellWithoutRoomOfService fails if the services of a load are ignored, as before: the submission moves to the cell of the other service. The sites in force have one service with submissions each, where nothing changes.

Loads name the size, use, free capacity and labels for each service.

--- /dev/null
+++ b/dispatch/serviceload.go
@@ -0,0 +1,58 @@
+package dispatch
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/peridotlock/peridotlock/cell"
+)
+
+// ServiceLoads returns the load of this cell for each service, sorted by name. Free and spare are those
+// of FreeCapacity, labels those of all listed executors.
+func (c *Core) ServiceLoads(now time.Duration) []cell.ServiceLoad {
+	loads := map[string]cell.ServiceLoad{}
+	for _, e := range c.executors {
+		if !e.listed || !e.isSeen() || e.info.Draining {
+			continue
+		}
+		l := loads[e.info.Service]
+		for _, label := range e.info.Labels {
+			if !slices.Contains(l.Labels, label) {
+				l.Labels = append(l.Labels, label)
+			}
+		}
+		if c.isAvailable(e, now) {
+			h, _ := e.host(len(forecastLeads))
+			l.Size, l.Used = l.Size.Add(h.Size), l.Used.Add(h.Reserved)
+			if c.acceptsWork(e, now) {
+				l.Free = l.Free.Add(h.Free())
+				l.SpareMilliCPU += max(0, h.SpareMilliCPU())
+			}
+		}
+		loads[e.info.Service] = l
+	}
+	for _, st := range c.waiting {
+		l, ok := loads[st.job.sub.Service]
+		if !ok {
+			continue
+		}
+		n := int64(len(st.waiting))
+		if st.spec.BestEffort {
+			l.SpareMilliCPU -= n * st.spec.Size.MilliCPU
+		} else {
+			l.Free.MilliCPU -= n * st.spec.Size.MilliCPU
+			l.Free.MemoryMB -= n * st.spec.Size.MemoryMB
+		}
+		loads[st.job.sub.Service] = l
+	}
+	var out []cell.ServiceLoad
+	for _, service := range slices.Sorted(maps.Keys(loads)) {
+		l := loads[service]
+		l.Service = service
+		slices.SortFunc(l.Labels, strings.Compare)
+		out = append(out, l)
+	}
+	return out
+}
