Judge by all cells whether most of a service's capacity is free

Seen by callers: best-effort work in a full cell waits 10 s for executors that are refused for harm, while most of its service is free and the platform expects a run within 3 s. Cause: the owner judged its own cell only. Evidence: TestFullCellOfFreeService; without the other cells, as before, it has no start within 3 s.

The owner adds the sizes and uses of the service in other cells whose loads it has read in the last 3 s. Work of a cell that is mostly free itself is treated as before.

--- a/cell/serviceload.go
+++ b/cell/serviceload.go
@@ -2,11 +2,16 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/peridotlock/peridotlock/fleet"
 	"github.com/peridotlock/peridotlock/submission"
 )
 
+// maxLoadAge is the age from which the load of a cell is not used to judge the whole service; owners
+// publish several in this time.
+const maxLoadAge = 3 * time.Second
+
 // ServiceLoad is the load of a cell's executors of one service.
 type ServiceLoad struct {
 	Service       string          `cbor:"1,keyasint"`
@@ -50,3 +55,21 @@
 	}
 	return true
 }
+
+// OtherCells returns the size and use of each service in the cells other than one, as far as their
+// loads were read recently.
+func (r *Replica) OtherCells(cell int, now time.Duration) map[string]ServiceLoad {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	out := map[string]ServiceLoad{}
+	for i := range r.layout.Cells {
+		if i == cell || now-r.loadReadAt[i] > maxLoadAge {
+			continue
+		}
+		for _, l := range r.loads[i].Services {
+			sum := out[l.Service]
+			out[l.Service] = ServiceLoad{Service: l.Service, Size: sum.Size.Add(l.Size), Used: sum.Used.Add(l.Used)}
+		}
+	}
+	return out
+}
--- a/cell/serviceload_test.go
+++ b/cell/serviceload_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
@@ -27,7 +28,7 @@
 		for i, l := range services {
 			record, err := LoadRecord(i, Load{Free: l.Free, SpareMilliCPU: l.SpareMilliCPU, Labels: l.Labels, Services: []ServiceLoad{l}})
 			So(err, ShouldBeNil)
-			So(replica.Apply(record, 0), ShouldBeNil)
+			So(replica.Apply(record, time.Second), ShouldBeNil)
 		}
 		step := submission.Step{Count: 4, Size: fleet.Resources{MilliCPU: 1000, MemoryMB: 100}}
 		s := submission.Submission{Service: "a", Steps: []submission.Step{step}}
@@ -56,6 +57,13 @@
 			So(ok, ShouldBeTrue)
 			So(to, ShouldEqual, 3)
 		})
+		Convey("the size and use of a service in other cells is known while their loads are fresh", func() {
+			others := replica.OtherCells(0, time.Second+maxLoadAge)
+			So(others["a"].Size, ShouldResemble, room)
+			So(others["a"].Used, ShouldResemble, room.Sub(some))
+			So(replica.OtherCells(3, 2*time.Second)["a"].Size, ShouldResemble, room.Add(room))
+			So(replica.OtherCells(0, 2*time.Second+maxLoadAge), ShouldBeEmpty)
+		})
 	})
 	Convey("A load of a service that is out of range is an error", t, func() {
 		record, err := LoadRecord(0, Load{Services: []ServiceLoad{{Used: fleet.Resources{MemoryMB: 2 * maxCellAmount}}}})
--- a/dispatch/overdue.go
+++ b/dispatch/overdue.go
@@ -57,7 +57,7 @@
 	switch {
 	case st.unplacedSince == 0 || waited < maxRefusedWait || !st.spec.LongRunning && st.job.hasCurrentRuns(now):
 		return strict
-	case st.spec.LongRunning || isMostlyFree(st.job.sub.Service, slices.Concat(candidates, c.paused)):
+	case st.spec.LongRunning || c.isMostlyFree(st.job.sub.Service, slices.Concat(candidates, c.paused)):
 		return allowOvercommit
 	case waited < maxRefusedWaitBusy:
 		return strict
@@ -184,15 +184,21 @@
 	return n
 }
 
-// isMostlyFree reports whether most of a service's capacity on the candidates is free.
-func isMostlyFree(service string, candidates []*candidate) bool {
-	var size, reserved fleet.Resources
+// isMostlyFree reports whether most of a service's capacity is free, on the candidates or in all cells
+// together.
+func (c *Core) isMostlyFree(service string, candidates []*candidate) bool {
+	var size, used fleet.Resources
 	for _, cand := range candidates {
 		if cand.executor.info.Service == service {
 			size = size.Add(cand.host.Size)
-			reserved = reserved.Add(cand.host.Reserved).Sub(cand.reservation)
+			used = used.Add(cand.host.Reserved).Sub(cand.reservation)
 		}
 	}
+	others := c.otherCells[service]
+	return isMostFree(size, used) || isMostFree(size.Add(others.Size), used.Add(others.Used))
+}
+
+func isMostFree(size, used fleet.Resources) bool {
 	limit := 1 - mostCapacity
-	return float64(reserved.MilliCPU) <= limit*float64(size.MilliCPU) && float64(reserved.MemoryMB) <= limit*float64(size.MemoryMB)
+	return float64(used.MilliCPU) <= limit*float64(size.MilliCPU) && float64(used.MemoryMB) <= limit*float64(size.MemoryMB)
 }
--- a/dispatch/serviceload.go
+++ b/dispatch/serviceload.go
@@ -56,3 +56,6 @@
 	}
 	return out
 }
+
+// SetOtherCells sets the size and use of each service in the other cells, as far as they are known.
+func (c *Core) SetOtherCells(loads map[string]cell.ServiceLoad) { c.otherCells = loads }
--- a/dispatch/serviceload_test.go
+++ b/dispatch/serviceload_test.go
@@ -6,11 +6,40 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/peridotlock/peridotlock/cell"
 	"github.com/peridotlock/peridotlock/fleet"
 	"github.com/peridotlock/peridotlock/provider"
 	"github.com/peridotlock/peridotlock/submission"
 )
 
+// TestFullCellOfFreeService guards against best-effort work that waits as on a busy day, since its cell
+// is full, while most of its service's capacity is free in other cells.
+func TestFullCellOfFreeService(t *testing.T) {
+	Convey("Given a cell that is over half in use, and an image that is expected to harm all servers", t, func() {
+		sim := newCellOfHarmfulImage(1)
+		filler := sized(longRunning(6), 3000)
+		filler.MaxPerExecutor = 1
+		sim.submit(idC, newSubmission(filler))
+		sim.run(time.Second)
+		So(sim.running(idC), ShouldEqual, 6)
+		size := fleet.Resources{MilliCPU: 400_000, MemoryMB: 400_000}
+		work := newSubmission(bestEffortTasks(2, "heavy", fleet.Resources{MilliCPU: 1000, MemoryMB: 500}, time.Second))
+
+		Convey("its work runs in time if other cells are free", func() {
+			sim.core.SetOtherCells(map[string]cell.ServiceLoad{"s": {Size: size}})
+			sim.submit(idB, work)
+			So(sim.runUntil(maxIdleTime, func() bool { return sim.running(idB) > 0 }), ShouldBeTrue)
+			So(sim.violations, ShouldBeEmpty)
+		})
+		Convey("it waits for longer if they are full, or of another service", func() {
+			sim.core.SetOtherCells(map[string]cell.ServiceLoad{"s": {Size: size, Used: size}, "other": {Size: size}})
+			sim.submit(idB, work)
+			So(sim.runUntil(maxIdleTime, func() bool { return sim.running(idB) > 0 }), ShouldBeFalse)
+			So(sim.runUntil(maxRefusedWaitBusy, func() bool { return sim.running(idB) > 0 }), ShouldBeTrue)
+		})
+	})
+}
+
 func TestServiceLoads(t *testing.T) {
 	Convey("The loads of services add up to the free capacity of the cell", t, func() {
 		sim := newSimulation(4, 1)
