--- a/dispatch/lendwait_test.go
+++ b/dispatch/lendwait_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -47,6 +48,31 @@
 	})
 }
 
+// TestReservationMovesFromLongBatchWork guards against a long-running task whose reservation stays on
+// an executor with long batch work, while the batch work on another one ends soon.
+func TestReservationMovesFromLongBatchWork(t *testing.T) {
+	Convey("Given an executor with long batch work, and a load of short batch tasks", t, func() {
+		sim := newSimulation(2, 1)
+		sim.submit(idA, newSubmission(sized(tasks(1, time.Hour), 2000)))
+		sim.run(time.Second)
+		load := func(d time.Duration) {
+			for end := sim.now + d; sim.now < end; {
+				length := 500*time.Millisecond + sim.now%(700*time.Millisecond)
+				sim.submit(fmt.Sprintf("%016x", 0x1000+int(sim.now/time.Millisecond)), newSubmission(tasks(2, length)))
+				sim.run(4 * simulationStep)
+			}
+		}
+		load(4 * time.Second)
+
+		Convey("a task that fits beside neither is started", func() {
+			sim.submit(idB, newSubmission(sized(longRunning(1), 6500)))
+			load(5 * time.Second)
+			So(sim.running(idB), ShouldEqual, 1)
+			So(sim.violations, ShouldBeEmpty)
+		})
+	})
+}
+
 // TestLastingSubmissionMissesItsHandover guards against a long-running submission of which nothing
 // runs for ever: no cell had room for it in the time in which it may be handed over.
 func TestLastingSubmissionMissesItsHandover(t *testing.T) {
