--- a/dispatch/lendwait_test.go
+++ b/dispatch/lendwait_test.go
@@ -127,6 +127,27 @@
 	}
 }
 
+// TestLaterStepMissesItsHandover guards against a submission whose later step waits for ever behind
+// long-running tasks that fill its cell, since only submissions without runs are handed over.
+func TestLaterStepMissesItsHandover(t *testing.T) {
+	Convey("Given one of two cells that long-running tasks fill once the first step of a submission is done", t, func() {
+		sim := newSimulation(1, 1)
+		sim.core.options.Cells = 2
+		second := sized(tasks(2, time.Second), 1000)
+		second.DependsOn = []int{0}
+		sim.submit(idB, newSubmission(sized(tasks(1, 500*time.Millisecond), 1000), second))
+		sim.run(300 * time.Millisecond)
+		sim.submit(idA, newSubmission(sized(longRunning(1), 7500)))
+		So(sim.runUntil(5*time.Second, func() bool { return sim.running(idA) == 1 }), ShouldBeTrue)
+
+		Convey("its second step is offered to the other cell", func() {
+			So(sim.runUntil(20*time.Second, func() bool {
+				return len(sim.core.HandoverCandidates(sim.now)) > 0 || len(sim.core.LendCandidates(sim.now)) > 0
+			}), ShouldBeTrue)
+		})
+	})
+}
+
 // TestReservationsKeepOthersWaiting guards against work that waits for as long as the batch work
 // behind which all executors are reserved for larger tasks.
 func TestReservationsKeepOthersWaiting(t *testing.T) {
