--- a/dispatch/reserved.go
+++ b/dispatch/reserved.go
@@ -61,14 +61,15 @@
 	unreportedLogInterval = 10 * time.Second
 )
 
-// compareReservations compares reservations with the newest reports, every
-// reservationInterval.
+// compareReservations compares reservations with the newest reports and counts the steps
+// that have not started, every reservationInterval.
 func (c *Core) compareReservations(now time.Duration) {
 	if c.reservationsAt > 0 && now-c.reservationsAt < reservationInterval {
 		return
 	}
 	c.reservationsAt = now
 	c.reservations = Reservations{}
+	c.notStartedSteps = c.notStarted()
 	var overdue []*run
 	for _, e := range c.executors {
 		if r := c.compareReservationsOf(e, now); r != nil && now >= e.unreportedLogAt {
@@ -96,7 +97,7 @@
 	}
 	var overdue *run
 	for _, r := range e.runs {
-		size, kind := reservation(r.task.step.spec), r.reservedKind()
+		size, kind := reservation(r.task.step.spec), r.task.step.reservedKind()
 		sums.Reserved[kind] = sums.Reserved[kind].Add(size)
 		state, unreported := c.unreportedState(r, now)
 		if !unreported {
@@ -113,11 +114,11 @@
 	return overdue
 }
 
-func (r *run) reservedKind() int {
-	switch spec := r.task.step.spec; {
-	case spec.LongRunning:
+func (st *step) reservedKind() int {
+	switch {
+	case st.spec.LongRunning:
 		return ReservedLongRunning
-	case spec.BestEffort:
+	case st.spec.BestEffort:
 		return ReservedBestEffort
 	}
 	return ReservedBatch
--- a/dispatch/reserved_test.go
+++ b/dispatch/reserved_test.go
@@ -92,7 +92,7 @@
 // someRun returns a run of a batch task on an executor.
 func someRun(sim *simulation, id provider.ExecutorID) *run {
 	for _, r := range sim.core.executors[id].sortedRuns() {
-		if r.reservedKind() == ReservedBatch {
+		if r.task.step.reservedKind() == ReservedBatch {
 			return r
 		}
 	}
