Place best-effort tasks with accelerators only where there are some

Callers saw: a submission with a best-effort step that needs accelerators was accepted and its tasks were never started, or only once a busier executor happened to have the best score, with accelerators free all the time.

Cause: ScoreBestEffort and ScoreOverdue compared the free memory of a host, and not its accelerators. An executor without any got the best score, the run was recorded, and not sent ("capacity has shrunk"); the next plan chose the same executor again, 40 times a second in the simulation. Each round appended a record. Nothing in the reports could correct the choice.

Change: both scores take what the task reserves, and refuse a host for room if its memory or its accelerators do not suffice.

--- a/colocate/limits_test.go
+++ b/colocate/limits_test.go
@@ -245,9 +245,9 @@
 		Convey("all its scores are numbers", func() {
 			reserved, ok := m.ScoreReserved(fleet.Resources{MemoryMB: 1000}, h)
 			So(ok && isFinite(reserved), ShouldBeTrue)
-			score, _ := m.ScoreBestEffort(task, 1000, h)
+			score, _ := m.ScoreBestEffort(task, fleet.Resources{MemoryMB: 1000}, h)
 			So(math.IsNaN(score), ShouldBeFalse)
-			score, _ = m.ScoreOverdue(task, 1000, h, true)
+			score, _ = m.ScoreOverdue(task, fleet.Resources{MemoryMB: 1000}, h, true)
 			So(isFinite(score), ShouldBeTrue)
 		})
 	})
--- a/colocate/order_test.go
+++ b/colocate/order_test.go
@@ -9,6 +9,8 @@
 	"strconv"
 	"testing"
 	"time"
+
+	"github.com/peridotlock/peridotlock/fleet"
 )
 
 // TestAnyOrder guards against estimates that depend on the order in which a model meets images: it
@@ -234,10 +236,10 @@
 		}
 	}
 	task := bestEffort(r.batch[0])
-	if score, refusal := r.model.ScoreBestEffort(task, 1000, h); refusal == NotRefused && !isFinite(score) {
+	if score, refusal := r.model.ScoreBestEffort(task, fleet.Resources{MemoryMB: 1000}, h); refusal == NotRefused && !isFinite(score) {
 		return fmt.Errorf("score %v of a best-effort task", score)
 	}
-	if score, refusal := r.model.ScoreOverdue(task, 1000, h, true); refusal == NotRefused && !isFinite(score) {
+	if score, refusal := r.model.ScoreOverdue(task, fleet.Resources{MemoryMB: 1000}, h, true); refusal == NotRefused && !isFinite(score) {
 		return fmt.Errorf("score %v of an overdue best-effort task", score)
 	}
 	if score, ok := r.model.ScoreServer(r.services[0], h.Size.Sub(h.Reserved), h); ok && !isFinite(score) {
--- a/dispatch/overdue.go
+++ b/dispatch/overdue.go
@@ -135,7 +135,7 @@
 	if spec.BestEffort {
 		task := colocate.BestEffortTask{Image: spec.Image, MilliCPU: spec.Size.MilliCPU, Pace: 1}
 		var r colocate.Refusal
-		score, r = c.model.ScoreOverdue(task, spec.Size.MemoryMB, &cand.host, lenient == allowOvercommit)
+		score, r = c.model.ScoreOverdue(task, reservation(spec), &cand.host, lenient == allowOvercommit)
 		reason = refusalOf(r)
 	} else {
 		score, reason = c.score(spec, cand)
--- a/dispatch/refusal.go
+++ b/dispatch/refusal.go
@@ -45,7 +45,7 @@
 	switch r {
 	case colocate.NotRefused:
 		return notRefused
-	case colocate.NoMemory:
+	case colocate.NoRoom:
 		return refusedRoom
 	case colocate.NoSpareProcessors:
 		return refusedProcessors
--- a/dispatch/starvation_test.go
+++ b/dispatch/starvation_test.go
@@ -132,3 +132,20 @@
 		})
 	})
 }
+
+// TestBestEffortTaskWithAccelerators guards against best-effort work that is planned over and over
+// on executors without the accelerators that it needs, and never starts.
+func TestBestEffortTaskWithAccelerators(t *testing.T) {
+	Convey("Given a cell in which one executor has accelerators and others have more idle processors", t, func() {
+		sim := newSimulation(4, 1)
+		sim.executors[3].size = fleet.Resources{MilliCPU: 4000, MemoryMB: 4000, Accelerators: 2}
+		sim.run(time.Second)
+
+		Convey("best-effort tasks with accelerators run there, no more than it has", func() {
+			sim.submit(idA, newSubmission(bestEffortTasks(4, "light", fleet.Resources{MilliCPU: 500, MemoryMB: 100, Accelerators: 1}, time.Second)))
+			So(sim.runUntil(maxIdleTime, func() bool { return sim.running(idA) == 2 }), ShouldBeTrue)
+			So(sim.runUntil(maxIdleTime, func() bool { return sim.publishedStates[idA] == submission.Completed }), ShouldBeTrue)
+			So(sim.violations, ShouldBeEmpty)
+		})
+	})
+}
--- a/dispatch/waitmodel_test.go
+++ b/dispatch/waitmodel_test.go
@@ -58,14 +58,12 @@
 			continue
 		}
 		waits := false
-		for i := range s.Steps {
-			for k := range s.Steps[i].Count {
-				task := submission.TaskID{Submission: id, Step: i, Index: k}.String()
-				could := !running[task] && !sim.completed[task] && w.isReady(id, &s, i) && w.slots(task, &s.Steps[i]) >= 2
-				waits = waits || could
-				if s.Steps[i].LongRunning {
-					w.count(task, could && w.calmSince > 0 && sim.now >= w.calmSince+calmTime && sim.now >= w.lastRun[task]+lastingGrace)
-				}
+		for _, task := range w.dueTasks(id, &s) {
+			name, spec := task.String(), &s.Steps[task.Step]
+			could := !running[name] && !sim.completed[name] && w.isReady(task, spec) && w.slots(name, spec) >= 2
+			waits = waits || could
+			if spec.LongRunning {
+				w.count(name, could && w.calmSince > 0 && sim.now >= w.calmSince+calmTime && sim.now >= w.lastRun[name]+lastingGrace)
 			}
 		}
 		w.count(string(id), waits && halfFree && !running[string(id)] && w.quiet > 0 && sim.now >= w.quiet+finishTime)
@@ -87,10 +85,27 @@
 	}
 }
 
-func (w *acceptedWaits) isReady(id submission.ID, s *submission.Submission, step int) bool {
-	for _, d := range s.Steps[step].DependsOn {
-		for k := range s.Steps[d].Count {
-			if !w.sim.completed[submission.TaskID{Submission: id, Step: d, Index: k}.String()] {
+// dueTasks returns the tasks of the occurrences that are due.
+func (w *acceptedWaits) dueTasks(id submission.ID, s *submission.Submission) []submission.TaskID {
+	var out []submission.TaskID
+	for o := range max(1, s.Occurrences) {
+		if s.Occurrences > 0 && w.sim.now.Milliseconds() < s.FirstDueMs+int64(o)*s.IntervalMs {
+			break
+		}
+		for i := range s.Steps {
+			for k := range s.Steps[i].Count {
+				out = append(out, submission.TaskID{Submission: id, Occurrence: o, Step: i, Index: k})
+			}
+		}
+	}
+	return out
+}
+
+// isReady reports whether all steps that a task depends on are done in its occurrence.
+func (w *acceptedWaits) isReady(task submission.TaskID, step *submission.Step) bool {
+	for _, d := range step.DependsOn {
+		for k := range w.sim.accepted[task.Submission].Steps[d].Count {
+			if !w.sim.completed[submission.TaskID{Submission: task.Submission, Occurrence: task.Occurrence, Step: d, Index: k}.String()] {
 				return false
 			}
 		}
@@ -103,7 +118,7 @@
 	n := 0
 	prefix := task[:strings.LastIndexByte(task, '.')+1]
 	for _, e := range w.sim.executors {
-		if !e.reachable() || !e.listed || e.draining {
+		if !e.reachable() || !e.listed || e.draining || !w.sim.mayRun(e, task, step) {
 			continue
 		}
 		most := 2
