Test a paused executor with one overdue run at a time

Callers saw: submissions of queues with two attempts failed although sound executors did the same work, when most executors failed all that they started.

Cause: while more suitable executors are paused than not, overdue work may use the paused ones, since the tasks may be the cause. As many overdue submissions as fit were started on each of them, and all lost an attempt, or their last one.

Change: a recent overdue run, younger than maxRefusedWait, or one gang, tests whether the executor still fails; until then no other overdue run starts there. The wait stays bounded: tests follow each other, and the first run that is done ends the pause.

--- a/dispatch/overdue.go
+++ b/dispatch/overdue.go
@@ -87,8 +87,9 @@
 // overdueCandidates returns the candidates that satisfy the constraints of a task. If there are at
 // least as many paused ones, the tasks that failed there are a likelier cause than the executors,
 // and these are returned as well: all work would wait for the end of the pauses. A run that
-// is done ends the pause.
-func overdueCandidates(t *task, candidates, paused []*candidate) []*candidate {
+// is done ends the pause. Executors may also be the cause, and most of them; so each is tested
+// by one run, or one gang, at a time, and few attempts are spent on it.
+func overdueCandidates(t *task, candidates, paused []*candidate, now time.Duration) []*candidate {
 	isExcluded := func(cand *candidate) bool { return !satisfiesConstraints(t, cand.executor) }
 	suitable := slices.DeleteFunc(slices.Clone(candidates), isExcluded)
 	if len(paused) == 0 {
@@ -97,7 +98,19 @@
 	if paused = slices.DeleteFunc(slices.Clone(paused), isExcluded); len(paused) < len(suitable) {
 		return suitable
 	}
-	return append(suitable, paused...)
+	isTested := func(cand *candidate) bool { return cand.executor.testsPause(t.step, now) }
+	return append(suitable, slices.DeleteFunc(paused, isTested)...)
+}
+
+// testsPause reports whether a recent overdue run shows soon whether runs on the executor still
+// fail. The runs of a gang st do not count for the gang.
+func (e *executor) testsPause(st *step, now time.Duration) bool {
+	for _, r := range e.runs {
+		if r.overdue && now-r.plannedAt < maxRefusedWait && !(st.spec.Gang && r.task.step == st) {
+			return true
+		}
+	}
+	return false
 }
 
 // chooseOverdue returns the candidate for a task of an overdue submission, or nil.
@@ -107,7 +120,7 @@
 	}
 	var best *candidate
 	bestScore := 0.0
-	for _, cand := range overdueCandidates(t, candidates, c.paused) {
+	for _, cand := range overdueCandidates(t, candidates, c.paused, now) {
 		if _, ok := t.step.ticketFor(cand.executor, now); !ok {
 			continue
 		}
