Repeat and read back claims that get no answer

Callers saw work of a cell wait for seconds after its owner had changed while the store lost answers. A claim without an answer was given up after 1 s and sent again; a claim that was stored without an answer was stored a second time.

All attempts name one end of the partition, so one of them is stored at most, however late. If the log then ends elsewhere, the newest claim is read before another end is tried: each claim names itself by a random text, not by its VM alone.

--- /dev/null
+++ b/node/claim.go
@@ -0,0 +1,115 @@
+package node
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/peridotlock/peridotlock/internal/pause"
+	"github.com/peridotlock/peridotlock/provider"
+)
+
+const (
+	claimKey = "owner"
+	// beforeClaimKey sorts before claimKey and after the keys of tasks, so that a read of
+	// the newest records after it returns the claim in one page.
+	beforeClaimKey = "owne"
+	claimReadDelay = 100 * time.Millisecond // after a failed read
+	claimReadLimit = 800 * time.Millisecond // one read
+)
+
+// claim appends the record of a new term and returns the term's fencing token.
+// The token derives from the record's offset, so it is unique. The record carries
+// no epoch: with one, the log would answer an equal record from another VM as a
+// repeat of the same append. It names its claim, which tells a claim that was stored
+// without an answer from those of other VMs and of earlier terms of this VM.
+func (n *Node) claim(ctx context.Context, p provider.Partition) (int64, error) {
+	id := n.vm.Name + " " + rand.Text()
+	end := provider.Offset(0)
+	for ctx.Err() == nil {
+		attempts, err := n.claimAt(ctx, p, id, end)
+		var mismatch *provider.EndMismatchError
+		switch {
+		case err == nil:
+			return int64(end) + 1, nil
+		case !errors.As(err, &mismatch):
+			return 0, err
+		}
+		if attempts > 1 {
+			newest, err := n.awaitNewestClaim(ctx, p)
+			if err != nil {
+				return 0, err
+			}
+			if newest.id == id {
+				return newest.fence, nil
+			}
+		}
+		end = mismatch.End
+	}
+	return 0, ctx.Err()
+}
+
+// claimAt repeats the append of a claim until the log has stored it at end or refuses it
+// since the partition does not end there. At most one of the attempts is stored, however
+// late they are carried out.
+func (n *Node) claimAt(ctx context.Context, p provider.Partition, id string, end provider.Offset) (attempts int, err error) {
+	record := []provider.KeyedRecord{{Key: claimKey, Value: []byte(id)}}
+	return repeated{
+		about: subject{"claim", p.Topic, end},
+		delay: &n.claimDelay,
+		attempt: func(ctx context.Context) error {
+			_, err := n.store.AppendKeyed(ctx, p, record, provider.Condition{End: &end})
+			return err
+		},
+		outcome: func(err error) (bool, error) {
+			var mismatch *provider.EndMismatchError
+			if err == nil || errors.As(err, &mismatch) {
+				return true, err
+			}
+			return false, nil
+		},
+		failed: func(err error) {
+			n.log.Info("claiming the cell failed, retrying", "cell", p.Index, "end", end, "reason", err.Error())
+		},
+	}.run(ctx)
+}
+
+// storedClaim is the newest claim of a cell.
+type storedClaim struct {
+	id    string
+	fence int64 // fencing token of its term; 0 without a claim
+}
+
+// newestClaim reads the newest claim of a cell.
+func (n *Node) newestClaim(ctx context.Context, p provider.Partition) (storedClaim, error) {
+	ctx, cancel := context.WithTimeout(ctx, claimReadLimit)
+	defer cancel()
+	batch, err := n.store.NewestAfter(ctx, p, beforeClaimKey)
+	if err != nil {
+		return storedClaim{}, fmt.Errorf("read the newest claim of cell %d: %w", p.Index, err)
+	}
+	for _, r := range batch.Records {
+		if r.Key == claimKey {
+			return storedClaim{string(r.Value), int64(r.Offset) + 1}, nil
+		}
+	}
+	return storedClaim{}, nil
+}
+
+// awaitNewestClaim repeats newestClaim until it succeeds or ctx ends. Until the newest
+// claim is known, an unanswered attempt may have been stored, and another attempt could end
+// the term of a VM that has claimed the cell since.
+func (n *Node) awaitNewestClaim(ctx context.Context, p provider.Partition) (storedClaim, error) {
+	for {
+		newest, err := n.newestClaim(ctx, p)
+		if err == nil {
+			return newest, nil
+		}
+		n.log.Info("claiming the cell failed, retrying", "cell", p.Index, "reason", err.Error())
+		if err := pause.For(ctx, claimReadDelay); err != nil {
+			return storedClaim{}, err
+		}
+	}
+}
--- /dev/null
+++ b/node/repeat.go
@@ -0,0 +1,77 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/peridotlock/peridotlock/boottime"
+	"github.com/peridotlock/peridotlock/internal/crash"
+	"github.com/peridotlock/peridotlock/internal/hedge"
+	"github.com/peridotlock/peridotlock/internal/pause"
+)
+
+const (
+	writeTimeout        = 2500 * time.Millisecond // one attempt; a slow store takes over a second
+	maxAttemptsInFlight = 4
+	retryDelay          = 100 * time.Millisecond // after a failed attempt
+)
+
+// repeated is an append to the store that is repeated until its outcome is known. An
+// unanswered attempt continues in parallel with the next one, so the store must give all
+// attempts the same answer or refuse all but one.
+type repeated struct {
+	about   subject
+	delay   *hedge.Delay
+	attempt func(ctx context.Context) error
+	// outcome reports whether the result of an attempt is final, and the append's result
+	// if so.
+	outcome func(err error) (done bool, result error)
+	failed  func(err error) // called after each attempt that is not final
+}
+
+// run returns the result and the number of attempts.
+func (r repeated) run(ctx context.Context) (attempts int, result error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make(chan error, maxAttemptsInFlight)
+	attempt := func() {
+		defer crash.End(r.about.keysAndValues)
+		call, cancel := context.WithTimeout(ctx, writeTimeout)
+		defer cancel()
+		sent := boottime.Now()
+		err := r.attempt(call)
+		if err == nil {
+			r.delay.Observe(boottime.Now() - sent)
+		}
+		results <- err
+	}
+	go attempt()
+	inFlight, attempts := 1, 1
+	timer := time.NewTimer(r.delay.Before(attempts))
+	defer timer.Stop()
+	for {
+		start := false
+		select {
+		case err := <-results:
+			inFlight--
+			if done, result := r.outcome(err); done {
+				return attempts, result
+			}
+			r.failed(err)
+			if inFlight == 0 {
+				pause.For(ctx, retryDelay) // the next attempt fails if ctx has ended
+				start = true
+			}
+		case <-timer.C:
+			start = inFlight < maxAttemptsInFlight
+			timer.Reset(r.delay.Before(attempts + 1))
+		case <-ctx.Done():
+			return attempts, ctx.Err()
+		}
+		if start {
+			inFlight++
+			attempts++
+			go attempt()
+		}
+	}
+}
