Confirm terms by the log after the group has listed a cell again

A member keeps the term of a cell that the group deals to another VM and back. If another VM had claimed the cell between, the older term became valid again without end as soon as the group listed its cell: only a refused append or order could end it. An owner that stores nothing and reaches other executors than the newer one would renew their leases beyond the newer one's wait for them, so that tasks could run twice. No caller has been seen to meet this; it was found by review.

That the group lists a cell tells nothing of claims once it has been dealt to another VM, which may have stored its claim, or store it yet. So such a term is confirmed by the log from then on, as one that is not listed.

TestRelistedTermNeedsConfirmation and TestDeposedOwnerEndsThoughListedAgain failed before: in the latter the deposed owner was not stopped within 10 s.

--- a/node/confirm.go
+++ b/node/confirm.go
@@ -8,19 +8,21 @@
 	"github.com/peridotlock/peridotlock/boottime"
 )
 
-// confirmInterval is the time from the confirmation of a term that the group does not list to
-// the next read of the newest claim. It leaves time for several failed reads.
+// confirmInterval is the time from the confirmation of a term that the log must confirm to the
+// next read of the newest claim. It leaves time for several failed reads.
 const confirmInterval = 2 * time.Second
 
 // term is what a member and the owner of a cell both know of a term. A term that the group
-// lists is valid. Another one is valid for ownerStoreTimeout after a moment at which no newer
-// claim was stored: a newer owner waits that long, counted from its claim, for executors
-// that only this owner can reach.
+// has listed all the time is valid. Another one is valid for ownerStoreTimeout after a moment
+// at which no newer claim was stored: a newer owner waits that long, counted from its claim,
+// for executors that only this owner can reach. That the group lists the cell again says
+// nothing about claims: another VM may have stored one meanwhile, or store it yet.
 type term struct {
 	mu          sync.Mutex
 	fence       int64 // fencing token; 0 before the claim is stored
 	confirmedAt time.Duration
-	unlisted    bool
+	left        bool // the newest join does not list the cell
+	wasUnlisted bool // an answer to a join in the term did not list the cell
 }
 
 // begin records that the claim of the term, which began at a time, is stored.
@@ -36,8 +38,10 @@
 func (t *term) confirmWithGroup(sent time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.unlisted = false
-	t.confirmedAt = max(t.confirmedAt, sent)
+	t.left = false
+	if !t.wasUnlisted {
+		t.confirmedAt = max(t.confirmedAt, sent)
+	}
 }
 
 // leaveGroup records that the group does not list the cell for this VM. It reports
@@ -45,8 +49,8 @@
 func (t *term) leaveGroup() (wasListed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	wasListed = !t.unlisted
-	t.unlisted = true
+	wasListed = !t.left
+	t.left, t.wasUnlisted = true, true
 	return wasListed
 }
 
@@ -63,18 +67,18 @@
 func (t *term) isValid(now time.Duration) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return !t.unlisted || now-t.confirmedAt < ownerStoreTimeout
+	return !t.wasUnlisted || now-t.confirmedAt < ownerStoreTimeout
 }
 
 // needsConfirmation reports whether the newest claim must be read for the term to go on.
 func (t *term) needsConfirmation(now time.Duration) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.unlisted && t.fence > 0 && now-t.confirmedAt >= confirmInterval
+	return t.wasUnlisted && t.fence > 0 && now-t.confirmedAt >= confirmInterval
 }
 
-// confirmTerms reads the newest claims of the cells that this VM serves though the group does
-// not list them for it.
+// confirmTerms reads the newest claims of the cells whose terms the group's list does not
+// confirm.
 func (m *member) confirmTerms(ctx context.Context) {
 	for cell, o := range m.owned {
 		sent := boottime.Now()
