Read the claims of several cells at once

A member read the newest claims of its cells in turn before its next join, for 0.8 s each without an answer. With three or more cells it did not join for longer than memberTTL, and the group removed it and dealt all cells anew. Found by review.

TestUnansweredReadsOfClaimsDelayJoins failed before: five cells took 4.0 s. It reads all at once now.

--- a/node/confirm.go
+++ b/node/confirm.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/peridotlock/peridotlock/boottime"
+	"github.com/peridotlock/peridotlock/internal/crash"
 )
 
 // confirmInterval is the time from the confirmation of a term that the log must confirm to the
@@ -78,18 +79,28 @@
 }
 
 // confirmTerms reads the newest claims of the cells whose terms the group's list does not
-// confirm.
+// confirm. It reads all at once, since joins wait for it.
 func (m *member) confirmTerms(ctx context.Context) {
+	var reads sync.WaitGroup
 	for cell, o := range m.owned {
-		sent := boottime.Now()
-		if !o.needsConfirmation(sent) {
+		if !o.needsConfirmation(boottime.Now()) {
 			continue
 		}
-		newest, err := m.n.newestClaim(ctx, progressPartition(cell))
-		if err != nil {
-			m.n.log.Info("confirming the term failed", "cell", cell, "reason", err.Error())
-			continue
-		}
-		o.confirmWithLog(newest, sent)
+		reads.Add(1)
+		crash.Go(func() {
+			defer reads.Done()
+			m.confirmTerm(ctx, cell, &o.term)
+		}, "cell", cell)
+	}
+	reads.Wait()
+}
+
+func (m *member) confirmTerm(ctx context.Context, cell int, t *term) {
+	sent := boottime.Now()
+	newest, err := m.n.newestClaim(ctx, progressPartition(cell))
+	if err != nil {
+		m.n.log.Info("confirming the term failed", "cell", cell, "reason", err.Error())
+		return
 	}
+	t.confirmWithLog(newest, sent)
 }
--- a/node/confirm_test.go
+++ b/node/confirm_test.go
@@ -1,12 +1,19 @@
 package node
 
 import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-logr/logr"
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/peridotlock/peridotlock/cell"
+	"github.com/peridotlock/peridotlock/platform"
 )
 
 // A term that a newer claim had ended became valid again without end when the group listed its
@@ -55,3 +62,29 @@
 		So(eventually(func() bool { return len(log.with(ownerStarted)) > 1 }), ShouldBeTrue)
 	})
 }
+
+// A member read the claims of its cells in turn: with several cells and a store that answers no
+// reads, it did not join for longer than memberTTL, and the group removed it.
+func TestUnansweredReadsOfClaimsDelayJoins(t *testing.T) {
+	Convey("A member of several cells whose reads get no answer joins again within memberTTL", t, func() {
+		ended := make(chan struct{})
+		server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			select {
+			case <-r.Context().Done():
+			case <-ended:
+			}
+		}))
+		Reset(func() { close(ended); server.Close() })
+		store := platform.NewStore(strings.TrimPrefix(server.URL, "http://"), "g", "a", metrics.NewSet())
+		m := newMember(&Node{store: store, log: logr.Discard(), submissions: cell.NewReplica()})
+		for i := range 5 {
+			o := &ownership{}
+			o.begin(7, 0)
+			o.leaveGroup()
+			m.owned[i] = o
+		}
+		start := time.Now()
+		m.confirmTerms(context.Background())
+		So(time.Since(start), ShouldBeLessThan, memberTTL-joinInterval)
+	})
+}
