Count only executors that could run a task when all are paused

Callers saw: accepted work that only one or two executors may run waited for up to 8 s, until the pause of these after failed runs ended, with most of their room free.

Cause: overdue work uses paused executors if these are at least as many as the other suitable ones. Executors that are too small for the task, such as those without accelerators, and those that the advice service has refused counted as suitable, although they can never run it.

TestOnlyPausedExecutorCanRunWork failed before in both of its cases.

Change: executors count if the task fits their size and the advice service has not refused them.

--- a/dispatch/overdue.go
+++ b/dispatch/overdue.go
@@ -84,13 +84,15 @@
 	return c.candidatesOf(func(e *executor) bool { return c.isAvailable(e, now) && now < e.pausedUntil })
 }
 
-// overdueCandidates returns the candidates that satisfy the constraints of a task. If there are at
+// overdueCandidates returns the candidates that could run a task. If there are at
 // least as many paused ones, the tasks that failed there are a likelier cause than the executors,
 // and these are returned as well: all work would wait for the end of the pauses. A run that
 // is done ends the pause. Executors may also be the cause, and most of them; so each is tested
 // by one run, or one gang, at a time, and few attempts are spent on it.
 func overdueCandidates(t *task, candidates, paused []*candidate, now time.Duration) []*candidate {
-	isExcluded := func(cand *candidate) bool { return !satisfiesConstraints(t, cand.executor) }
+	isExcluded := func(cand *candidate) bool {
+		return !satisfiesConstraints(t, cand.executor) || !t.step.couldRunOn(cand.executor)
+	}
 	suitable := slices.DeleteFunc(slices.Clone(candidates), isExcluded)
 	if len(paused) == 0 {
 		return suitable
@@ -102,6 +104,12 @@
 	return append(suitable, slices.DeleteFunc(paused, isTested)...)
 }
 
+// couldRunOn reports whether an executor is large enough for a task of the step, and the advice
+// service has not refused it.
+func (st *step) couldRunOn(e *executor) bool {
+	return reservation(st.spec).Fits(e.info.Size) && !st.advice.refuses(e)
+}
+
 // testsPause reports whether a recent overdue run shows soon whether runs on the executor still
 // fail. The runs of a gang st do not count for the gang.
 func (e *executor) testsPause(st *step, now time.Duration) bool {
--- a/dispatch/refusedwork_test.go
+++ b/dispatch/refusedwork_test.go
@@ -9,6 +9,8 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/peridotlock/peridotlock/fleet"
+	"github.com/peridotlock/peridotlock/policy"
+	"github.com/peridotlock/peridotlock/provider"
 	"github.com/peridotlock/peridotlock/submission"
 )
 
@@ -240,3 +242,42 @@
 		})
 	})
 }
+
+// TestOnlyPausedExecutorCanRunWork guards against work that waits for the end of a pause although
+// no other executor can ever run it.
+func TestOnlyPausedExecutorCanRunWork(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		accelerators int64
+		advised      bool
+	}{
+		{"the others have no accelerators", 1, false},
+		{"the advice service refuses the others", 0, true},
+	} {
+		Convey("Given an executor that is paused after failures, and work that only it can run since "+c.name, t, func() {
+			sim := newSimulation(4, 1)
+			only := sim.executors[3]
+			only.size.Accelerators = 1
+			if c.advised {
+				sim.advisor = &fakeAdvisor{queue: advisedQueue, allowed: []provider.ExecutorID{only.id}}
+				sim.config = policy.New(2, []policy.Queue{{Name: "q", Service: "s", MaxAttempts: 3}, {Name: advisedQueue, Service: "s", MaxAttempts: 3, Advised: true}},
+					[]policy.Service{{Name: "s", RejectsOverload: true}})
+				sim.core.SetConfig(sim.config)
+			}
+			sim.fails = func(_ *fakeExecutor, task string) bool { return strings.HasPrefix(task, idA) }
+			sim.run(time.Second)
+			work := tasks(1, 100*time.Millisecond)
+			work.Size.Accelerators = 1
+			sim.submit(idA, newSubmission(work))
+			So(sim.runUntil(20*time.Second, func() bool { return sim.publishedStates[idA] == submission.Failed }), ShouldBeTrue)
+			So(sim.core.executors[only.id].pausedUntil, ShouldBeGreaterThan, sim.now+maxIdleTime)
+
+			Convey("it is started there in time", func() {
+				work.Size.Accelerators = c.accelerators
+				sim.submitTo(map[bool]string{false: "q", true: advisedQueue}[c.advised], idB, newSubmission(work))
+				So(sim.runUntil(maxIdleTime, func() bool { return sim.running(idB) > 0 }), ShouldBeTrue)
+				So(sim.violations, ShouldBeEmpty)
+			})
+		})
+	}
+}
