Confirm unlisted terms beside joins, at slow stores too

The group did not list the cell for it, each read of the newest claim was cut off after 0.8 s while the store needed longer, and the reads delayed the member's joins. Reads of the newest claim are now repeated beside each other as claims are, without a fixed limit below that of appends, and don't hold up joins.

TestUnlistedOwnerConfirmsAtSlowStore fails before (a pass of the member's loop waits for 0.80 s) and passes now.

--- a/node/claim.go
+++ b/node/claim.go
@@ -5,9 +5,8 @@
 	"crypto/rand"
 	"errors"
 	"fmt"
-	"time"
+	"sync/atomic"
 
-	"github.com/peridotlock/peridotlock/internal/pause"
 	"github.com/peridotlock/peridotlock/provider"
 )
 
@@ -16,8 +15,6 @@
 	// beforeClaimKey sorts before claimKey and after the keys of tasks, so that a read of
 	// the newest records after it returns the claim in one page.
 	beforeClaimKey = "owne"
-	claimReadDelay = 100 * time.Millisecond // after a failed read
-	claimReadLimit = 800 * time.Millisecond // one read
 )
 
 // claim appends the record of a new term and returns the term's fencing token.
@@ -37,8 +34,10 @@
 		case !errors.As(err, &mismatch):
 			return 0, err
 		}
+		// Until the newest claim is known, an unanswered attempt may have been stored, and
+		// another attempt could end the term of a VM that has claimed the cell since.
 		if attempts > 1 {
-			newest, err := n.awaitNewestClaim(ctx, p)
+			newest, err := n.newestClaim(ctx, p)
 			if err != nil {
 				return 0, err
 			}
@@ -82,14 +81,36 @@
 	fence int64 // fencing token of its term; 0 without a claim
 }
 
-// newestClaim reads the newest claim of a cell.
+// newestClaim reads the newest claim of a cell, and repeats the read until it succeeds or
+// ctx ends. A claim that was stored before the call is never missed.
 func (n *Node) newestClaim(ctx context.Context, p provider.Partition) (storedClaim, error) {
-	ctx, cancel := context.WithTimeout(ctx, claimReadLimit)
-	defer cancel()
-	batch, err := n.store.NewestAfter(ctx, p, beforeClaimKey)
+	var newest atomic.Pointer[storedClaim]
+	_, err := repeated{
+		about: subjectOf("claim", p.Topic),
+		delay: &n.claimDelay,
+		attempt: func(ctx context.Context) error {
+			claim, err := n.readClaim(ctx, p)
+			if err == nil {
+				newest.Store(&claim)
+			}
+			return err
+		},
+		outcome: func(err error) (bool, error) { return err == nil, nil },
+		failed: func(err error) {
+			n.log.Info("reading the newest claim failed, retrying", "cell", p.Index, "reason", err.Error())
+		},
+	}.run(ctx)
 	if err != nil {
 		return storedClaim{}, fmt.Errorf("read the newest claim of cell %d: %w", p.Index, err)
 	}
+	return *newest.Load(), nil
+}
+
+func (n *Node) readClaim(ctx context.Context, p provider.Partition) (storedClaim, error) {
+	batch, err := n.store.NewestAfter(ctx, p, beforeClaimKey)
+	if err != nil {
+		return storedClaim{}, err
+	}
 	for _, r := range batch.Records {
 		if r.Key == claimKey {
 			return storedClaim{string(r.Value), int64(r.Offset) + 1}, nil
@@ -97,19 +118,3 @@
 	}
 	return storedClaim{}, nil
 }
-
-// awaitNewestClaim repeats newestClaim until it succeeds or ctx ends. Until the newest
-// claim is known, an unanswered attempt may have been stored, and another attempt could end
-// the term of a VM that has claimed the cell since.
-func (n *Node) awaitNewestClaim(ctx context.Context, p provider.Partition) (storedClaim, error) {
-	for {
-		newest, err := n.newestClaim(ctx, p)
-		if err == nil {
-			return newest, nil
-		}
-		n.log.Info("claiming the cell failed, retrying", "cell", p.Index, "reason", err.Error())
-		if err := pause.For(ctx, claimReadDelay); err != nil {
-			return storedClaim{}, err
-		}
-	}
-}
--- a/node/confirm.go
+++ b/node/confirm.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/peridotlock/peridotlock/boottime"
+	"github.com/peridotlock/peridotlock/internal/crash"
 )
 
 // confirmInterval is the time from the confirmation of a term that the group does not list to
@@ -21,6 +22,7 @@
 	fence       int64 // fencing token; 0 before the claim is stored
 	confirmedAt time.Duration
 	unlisted    bool
+	confirming  bool // a read of the newest claim is under way
 }
 
 // begin records that the claim of the term, which began at a time, is stored.
@@ -66,26 +68,42 @@
 	return !t.unlisted || now-t.confirmedAt < ownerStoreTimeout
 }
 
-// needsConfirmation reports whether the newest claim must be read for the term to go on.
-func (t *term) needsConfirmation(now time.Duration) bool {
+// beginConfirmation reports whether the newest claim must be read for the term to go on, and
+// is not being read. The caller then reads it and calls endConfirmation.
+func (t *term) beginConfirmation(now time.Duration) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.unlisted && t.fence > 0 && now-t.confirmedAt >= confirmInterval
+	if !t.unlisted || t.fence == 0 || t.confirming || now-t.confirmedAt < confirmInterval {
+		return false
+	}
+	t.confirming = true
+	return true
+}
+
+func (t *term) endConfirmation() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.confirming = false
 }
 
 // confirmTerms reads the newest claims of the cells that this VM serves though the group does
-// not list them for it.
+// not list them for it. It does not wait for the answers, so that a slow read delays no join.
 func (m *member) confirmTerms(ctx context.Context) {
 	for cell, o := range m.owned {
-		sent := boottime.Now()
-		if !o.needsConfirmation(sent) {
-			continue
+		if sent := boottime.Now(); o.beginConfirmation(sent) {
+			crash.Go(func() { m.n.confirm(ctx, cell, &o.term, sent) }, "cell", cell)
 		}
-		newest, err := m.n.newestClaim(ctx, progressPartition(cell))
-		if err != nil {
-			m.n.log.Info("confirming the term failed", "cell", cell, "reason", err.Error())
-			continue
-		}
-		o.confirmWithLog(newest, sent)
 	}
 }
+
+func (n *Node) confirm(ctx context.Context, cell int, t *term, sent time.Duration) {
+	defer t.endConfirmation()
+	ctx, cancel := context.WithTimeout(ctx, ownerStoreTimeout-confirmInterval)
+	defer cancel()
+	newest, err := n.newestClaim(ctx, progressPartition(cell))
+	if err != nil {
+		n.log.Info("confirming the term failed", "cell", cell, "reason", err.Error())
+		return
+	}
+	t.confirmWithLog(newest, sent)
+}
--- a/node/keepcell_test.go
+++ b/node/keepcell_test.go
@@ -1,13 +1,19 @@
 package node
 
 import (
+	"context"
 	"fmt"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr"
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/peridotlock/peridotlock/boottime"
+	"github.com/peridotlock/peridotlock/config"
 	"github.com/peridotlock/peridotlock/platform/standin"
 )
 
@@ -102,3 +108,35 @@
 		So(ledger.Violations(), ShouldBeEmpty)
 	})
 }
+
+// A store that needed longer than a fixed limit for each read ended the term of an owner that
+// the group did not list. The reads also delayed its joins.
+func TestUnlistedOwnerConfirmsAtSlowStore(t *testing.T) {
+	Convey("An owner keeps its cell at a store that needs 1.2 s for each read of claims", t, func() {
+		store := standin.NewStore(1)
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/api/log-newest" {
+				time.Sleep(1200 * time.Millisecond)
+			}
+			store.ServeHTTP(w, r)
+		}))
+		defer server.Close()
+		n := New(config.VM{Name: "vm-1", Log: strings.TrimPrefix(server.URL, "http://")}, logr.Discard())
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		m := newMember(n)
+		o := &ownership{}
+		m.owned[0] = o
+		claimed := boottime.Now()
+		fence, err := n.claim(ctx, progressPartition(0))
+		So(err, ShouldBeNil)
+		o.begin(fence, claimed)
+		o.leaveGroup()
+		for now := claimed; now < claimed+ownerStoreTimeout+time.Second; now = boottime.Now() {
+			m.confirmTerms(ctx)
+			So(boottime.Now()-now, ShouldBeLessThan, 100*time.Millisecond)
+			So(o.isValid(now), ShouldBeTrue)
+			time.Sleep(200 * time.Millisecond)
+		}
+	})
+}
--- a/node/tenure_test.go
+++ b/node/tenure_test.go
@@ -84,13 +84,14 @@
 		const at, limit = 10 * time.Second, ownerStoreTimeout
 		var tm term
 		tm.begin(7, at)
-		So(tm.needsConfirmation(at+time.Hour), ShouldBeFalse)
+		So(tm.beginConfirmation(at+time.Hour), ShouldBeFalse)
 		So(tm.isValid(at+time.Hour), ShouldBeTrue)
 		tm.confirmWithGroup(at + time.Second)
 		So(tm.leaveGroup(), ShouldBeTrue)
 		So(tm.leaveGroup(), ShouldBeFalse)
-		So(tm.needsConfirmation(at+time.Second+confirmInterval-1), ShouldBeFalse)
-		So(tm.needsConfirmation(at+time.Second+confirmInterval), ShouldBeTrue)
+		So(tm.beginConfirmation(at+time.Second+confirmInterval-1), ShouldBeFalse)
+		So(tm.beginConfirmation(at+time.Second+confirmInterval), ShouldBeTrue)
+		So(tm.beginConfirmation(at+time.Second+confirmInterval), ShouldBeFalse) // one read at a time
 
 		Convey("it lasts ownerStoreTimeout from the last join that listed it", func() {
 			So(tm.isValid(at+time.Second+limit-1), ShouldBeTrue)
