--- a/node/confirm.go
+++ b/node/confirm.go
@@ -22,8 +22,9 @@
 	mu          sync.Mutex
 	fence       int64 // fencing token; 0 before the claim is stored
 	confirmedAt time.Duration
-	left        bool // the newest join does not list the cell
-	wasUnlisted bool // an answer to a join in the term did not list the cell
+	unlisted    bool // the newest join does not list the cell
+	wasUnlisted bool // a join in the term did not list the cell
+	confirming  bool // a read of the newest claim is under way
 }
 
 // begin records that the claim of the term, which began at a time, is stored.
@@ -39,7 +40,7 @@
 func (t *term) confirmWithGroup(sent time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.left = false
+	t.unlisted = false
 	if !t.wasUnlisted {
 		t.confirmedAt = max(t.confirmedAt, sent)
 	}
@@ -50,8 +51,8 @@
 func (t *term) leaveGroup() (wasListed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	wasListed = !t.left
-	t.left, t.wasUnlisted = true, true
+	wasListed = !t.unlisted
+	t.unlisted, t.wasUnlisted = true, true
 	return wasListed
 }
 
@@ -71,35 +72,41 @@
 	return !t.wasUnlisted || now-t.confirmedAt < ownerStoreTimeout
 }
 
-// needsConfirmation reports whether the newest claim must be read for the term to go on.
-func (t *term) needsConfirmation(now time.Duration) bool {
+// beginConfirmation reports whether the newest claim must be read for the term to go on, and
+// is not being read. The caller then reads it and calls endConfirmation.
+func (t *term) beginConfirmation(now time.Duration) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.wasUnlisted && t.fence > 0 && now-t.confirmedAt >= confirmInterval
+	if !t.wasUnlisted || t.fence == 0 || t.confirming || now-t.confirmedAt < confirmInterval {
+		return false
+	}
+	t.confirming = true
+	return true
+}
+
+func (t *term) endConfirmation() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.confirming = false
 }
 
-// confirmTerms reads the newest claims of the cells whose terms the group's list does not
-// confirm. It reads all at once, since joins wait for it.
+// confirmTerms reads the newest claims of the cells whose terms the log must confirm. It does
+// not wait for the answers, so that a slow read delays no join.
 func (m *member) confirmTerms(ctx context.Context) {
-	var reads sync.WaitGroup
 	for cell, o := range m.owned {
-		if !o.needsConfirmation(boottime.Now()) {
-			continue
+		if sent := boottime.Now(); o.beginConfirmation(sent) {
+			crash.Go(func() { m.n.confirm(ctx, cell, &o.term, sent) }, "cell", cell)
 		}
-		reads.Add(1)
-		crash.Go(func() {
-			defer reads.Done()
-			m.confirmTerm(ctx, cell, &o.term)
-		}, "cell", cell)
 	}
-	reads.Wait()
 }
 
-func (m *member) confirmTerm(ctx context.Context, cell int, t *term) {
-	sent := boottime.Now()
-	newest, err := m.n.newestClaim(ctx, progressPartition(cell))
+func (n *Node) confirm(ctx context.Context, cell int, t *term, sent time.Duration) {
+	defer t.endConfirmation()
+	ctx, cancel := context.WithTimeout(ctx, ownerStoreTimeout-confirmInterval)
+	defer cancel()
+	newest, err := n.newestClaim(ctx, progressPartition(cell))
 	if err != nil {
-		m.n.log.Info("confirming the term failed", "cell", cell, "reason", err.Error())
+		n.log.Info("confirming the term failed", "cell", cell, "reason", err.Error())
 		return
 	}
 	t.confirmWithLog(newest, sent)
--- a/node/confirm_test.go
+++ b/node/confirm_test.go
@@ -32,7 +32,7 @@
 				tm.confirmWithGroup(now)
 				tm.confirmWithLog(storedClaim{fence: 9}, now)
 			}
-			So(tm.needsConfirmation(at+confirmInterval), ShouldBeTrue)
+			So(tm.beginConfirmation(at+confirmInterval), ShouldBeTrue)
 			So(tm.isValid(at+ownerStoreTimeout), ShouldBeFalse)
 		})
 		Convey("lasts while reads return its claim", func() {
@@ -74,7 +74,8 @@
 			case <-ended:
 			}
 		}))
-		Reset(func() { close(ended); server.Close() })
+		ctx, cancel := context.WithCancel(context.Background())
+		Reset(func() { cancel(); close(ended); server.Close() })
 		store := platform.NewStore(strings.TrimPrefix(server.URL, "http://"), "g", "a", metrics.NewSet())
 		m := newMember(&Node{store: store, log: logr.Discard(), submissions: cell.NewReplica()})
 		for i := range 5 {
@@ -84,7 +85,7 @@
 			m.owned[i] = o
 		}
 		start := time.Now()
-		m.confirmTerms(context.Background())
+		m.confirmTerms(ctx)
 		So(time.Since(start), ShouldBeLessThan, memberTTL-joinInterval)
 	})
 }
