--- a/dispatch/reserved_test.go
+++ b/dispatch/reserved_test.go
@@ -153,3 +153,17 @@
 		})
 	})
 }
+
+// BenchmarkCompareReservations compares the reservations of a cell of 350 executors with 3,500 runs
+// with their reports, as an owner does once a second.
+func BenchmarkCompareReservations(b *testing.B) {
+	sim := newSimulation(350, 1)
+	sim.submit(idA, submission.Submission{Steps: []submission.Step{{
+		Count: 3500, Size: fleet.Resources{MilliCPU: 500, MemoryMB: 500}, EstimateMs: time.Hour.Milliseconds(),
+	}}})
+	sim.run(2 * time.Second)
+	for b.Loop() {
+		sim.core.reservationsAt = 0
+		sim.core.compareReservations(sim.now)
+	}
+}
