--- a/queue/bounds_test.go
+++ b/queue/bounds_test.go
@@ -12,6 +12,49 @@
 	"github.com/peridotlock/peridotlock/settings"
 )
 
+// TestCorrectedSizeFitsNowhere guards against tasks that never start since other tasks of their
+// kind used more than they declared.
+func TestCorrectedSizeFitsNowhere(t *testing.T) {
+	Convey("Given a kind whose tasks used four times the declared memory", t, func() {
+		m := NewMachine(testTeam)
+		spec := testSpec("a", 1)
+		apply(m, 1, 0, Record{Kind: Opened}, Record{Kind: Submitted, Spec: spec})
+		used := fleet.Resources{MilliCPU: spec.Size.MilliCPU, MemoryMB: 4 * spec.Size.MemoryMB}
+		order := Order{Policy: settings.DefaultPolicy().Tasks, History: NewHistory()}
+		for range 20 {
+			order.History.Observe(*spec, used, spec.RunTime)
+		}
+		summaries := []rack.Summary{{Rack: "r", VMs: []rack.VMSummary{{ID: "w1", Free: spec.Size.Add(spec.Size)}}}}
+		isPlaced := func(now time.Time) bool {
+			order.Now = now
+			candidates, _ := order.Next(m)
+			if len(candidates) == 0 {
+				return false
+			}
+			_, _, ok := NewRackSelector(summaries).Select(candidates[0])
+			return ok
+		}
+
+		Convey("a task waits for a VM with room for what it is expected to use, and then takes one with the declared size", func() {
+			So(isPlaced(testStart.Add(maxCorrectedWait-time.Second)), ShouldBeFalse)
+			So(isPlaced(testStart.Add(maxCorrectedWait)), ShouldBeTrue)
+		})
+		Convey("a quota that has room for the declared size holds it back no longer", func() {
+			order.Team.Quota = spec.Size
+			So(isPlaced(testStart.Add(maxCorrectedWait-time.Second)), ShouldBeFalse)
+			So(isPlaced(testStart.Add(maxCorrectedWait)), ShouldBeTrue)
+		})
+		Convey("the expected use of the team's other tasks does not hold it back either, what they declared does", func() {
+			placed := Record{Kind: Placed, Job: 2, Attempt: 1, VM: "w2", Rack: "r", RackTerm: 7}
+			apply(m, 1, 0, Record{Kind: Submitted, Spec: testSpec("b", 1)}, placed)
+			order.Team.Quota = spec.Size.Add(spec.Size)
+			So(isPlaced(testStart.Add(maxCorrectedWait)), ShouldBeTrue)
+			order.Team.Quota = spec.Size
+			So(isPlaced(testStart.Add(maxCorrectedWait)), ShouldBeFalse)
+		})
+	})
+}
+
 // TestRetryWithoutOtherVM guards against tasks that never start again since the VMs on which they
 // have not failed have no room.
 func TestRetryWithoutOtherVM(t *testing.T) {
--- a/queue/selector_test.go
+++ b/queue/selector_test.go
@@ -28,3 +28,20 @@
 		})
 	})
 }
+
+// TestLargerTaskBlocksItsJob guards against tasks that wait although there is room for them, since there
+// is none for a task of their job that is expected to use more than they declare.
+func TestLargerTaskBlocksItsJob(t *testing.T) {
+	Convey("Given a VM with room for the declared size of a job's tasks, and one that needs more", t, func() {
+		spec := testSpec("a", 2)
+		j := &Job{Number: 1, Spec: *spec}
+		selector := NewRackSelector([]rack.Summary{{Rack: "r", VMs: []rack.VMSummary{{ID: "w1", Free: spec.Size}}}})
+		_, _, ok := selector.Select(Candidate{Ref: TaskRef{Job: 1}, Job: j, Size: spec.Size.Add(spec.Size)})
+		So(ok, ShouldBeFalse)
+
+		Convey("a task of the declared size gets it", func() {
+			_, _, ok := selector.Select(Candidate{Ref: TaskRef{Job: 1, Index: 1}, Job: j, Size: spec.Size})
+			So(ok, ShouldBeTrue)
+		})
+	})
+}
