--- a/rack/loss_test.go
+++ b/rack/loss_test.go
@@ -1,6 +1,7 @@
 package rack
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -251,6 +252,48 @@
 	})
 }
 
+// TestFailingJobsQuarantineAllWorkers guards against work that waits for the ends of quarantines,
+// one after the other, since jobs fail wherever they run.
+func TestFailingJobsQuarantineAllWorkers(t *testing.T) {
+	Convey("Given a rack of three workers", t, func() {
+		f := newLossFixture()
+		fail := func(job int, vm string) {
+			task := fmt.Sprintf("q/j%d/0", job)
+			So(f.start(task, Request{Avoid: without(f.ids, vm)}, true), ShouldEqual, vm)
+			f.advance(100 * time.Millisecond)
+			f.runs[vm][len(f.runs[vm])-1].State = provider.AttemptFailed
+			f.renewAll()
+			f.runs[vm] = f.runs[vm][:len(f.runs[vm])-1]
+			for _, e := range f.s.Events()["q"] {
+				f.s.Acknowledge(e)
+			}
+			f.renewAll()
+		}
+		quarantine := func(ids ...string) {
+			for i, vm := range ids {
+				for k := range 3 {
+					fail(10*i+k, vm)
+				}
+			}
+		}
+
+		Convey("of which one is quarantined, the others get all work", func() {
+			quarantine(f.ids[0])
+			So(f.s.QuarantinedCount(f.now), ShouldEqual, 1)
+			So(f.reserve("q/j90/0", Request{Avoid: f.ids[1:]}).Refusals[0].Reason, ShouldEqual, place.VMQuarantined)
+		})
+		Convey("of which most are quarantined, these get one task at a time", func() {
+			quarantine(f.ids...)
+			So(f.s.QuarantinedCount(f.now), ShouldEqual, 3)
+			So(len(f.s.Summary(f.now, f.c).VMs), ShouldEqual, 3)
+			for i := range f.ids {
+				So(f.reserve(fmt.Sprintf("q/j9%d/0", i), Request{}).VM, ShouldNotBeEmpty)
+			}
+			So(f.reserve("q/j99/0", Request{}).Reason, ShouldEqual, NoVM)
+		})
+	})
+}
+
 func without(ids []string, id string) []string {
 	var out []string
 	for _, other := range ids {
