--- a/dispatch/overdue.go
+++ b/dispatch/overdue.go
@@ -85,12 +85,15 @@
 	return c.candidatesOf(func(e *executor) bool { return c.isAvailable(e, now) && now < e.pausedUntil })
 }
 
-// overdueCandidates returns the candidates that satisfy the constraints of a task. If there are at
+// overdueCandidates returns the candidates that could run a task. If there are at
 // least as many paused ones, the tasks that failed there are a likelier cause than the executors,
 // and these are returned as well: all work would wait for the end of the pauses. A run that
-// is done ends the pause.
-func overdueCandidates(t *task, candidates, paused []*candidate) []*candidate {
-	isExcluded := func(cand *candidate) bool { return !satisfiesConstraints(t, cand.executor) }
+// is done ends the pause. Executors may also be the cause, and most of them; so each is tested
+// by one run, or one gang, at a time, and few attempts are spent on it.
+func overdueCandidates(t *task, candidates, paused []*candidate, now time.Duration) []*candidate {
+	isExcluded := func(cand *candidate) bool {
+		return !satisfiesConstraints(t, cand.executor) || !t.step.couldRunOn(cand.executor)
+	}
 	suitable := slices.DeleteFunc(slices.Clone(candidates), isExcluded)
 	if len(paused) == 0 {
 		return suitable
@@ -98,7 +101,25 @@
 	if paused = slices.DeleteFunc(slices.Clone(paused), isExcluded); len(paused) < len(suitable) {
 		return suitable
 	}
-	return append(suitable, paused...)
+	isTested := func(cand *candidate) bool { return cand.executor.testsPause(t.step, now) }
+	return append(suitable, slices.DeleteFunc(paused, isTested)...)
+}
+
+// couldRunOn reports whether an executor is large enough for a task of the step, and the advice
+// service has not refused it.
+func (st *step) couldRunOn(e *executor) bool {
+	return reservation(st.spec).Fits(e.info.Size) && !st.isRefusedBy(e)
+}
+
+// testsPause reports whether a recent overdue run shows soon whether runs on the executor still
+// fail. The runs of a gang st do not count for the gang.
+func (e *executor) testsPause(st *step, now time.Duration) bool {
+	for _, r := range e.runs {
+		if r.overdue && now-r.plannedAt < maxRefusedWait && !(st.spec.Gang && r.task.step == st) {
+			return true
+		}
+	}
+	return false
 }
 
 // chooseOverdue returns the candidate for a task of an overdue submission, or nil.
@@ -108,7 +129,7 @@
 	}
 	var best *candidate
 	bestScore := 0.0
-	for _, cand := range overdueCandidates(t, candidates, c.paused) {
+	for _, cand := range overdueCandidates(t, candidates, c.paused, now) {
 		if _, ok := t.step.ticketFor(cand.executor, now); !ok {
 			continue
 		}
@@ -139,7 +160,7 @@
 	if spec.BestEffort {
 		task := colocate.BestEffortTask{Image: spec.Image, MilliCPU: spec.Size.MilliCPU, Pace: 1}
 		var r colocate.Refusal
-		score, r = c.model.ScoreOverdue(task, spec.Size.MemoryMB, &cand.host, lenient == allowOvercommit)
+		score, r = c.model.ScoreOverdue(task, reservation(spec), &cand.host, lenient == allowOvercommit)
 		reason = refusalOf(r)
 	} else {
 		score, reason = c.score(spec, cand)
