--- a/node/claim.go
+++ b/node/claim.go
@@ -56,8 +56,9 @@
 func (n *Node) claimAt(ctx context.Context, p provider.Partition, id string, end provider.Offset) (attempts int, err error) {
 	record := []provider.KeyedRecord{{Key: claimKey, Value: []byte(id)}}
 	return repeated{
-		about: subject{"claim", p.Topic, end},
-		delay: &n.claimDelay,
+		about:  subject{"claim", p.Topic, end},
+		delay:  &n.claimDelay,
+		urgent: true,
 		attempt: func(ctx context.Context) error {
 			_, err := n.store.AppendKeyed(ctx, p, record, provider.Condition{End: &end})
 			return err
@@ -86,8 +87,9 @@
 func (n *Node) newestClaim(ctx context.Context, p provider.Partition) (storedClaim, error) {
 	var newest atomic.Pointer[storedClaim]
 	_, err := repeated{
-		about: subjectOf("claim", p.Topic),
-		delay: &n.claimDelay,
+		about:  subjectOf("claim", p.Topic),
+		delay:  &n.claimDelay,
+		urgent: true,
 		attempt: func(ctx context.Context) error {
 			claim, err := n.readClaim(ctx, p)
 			if err == nil {
--- a/node/repeat.go
+++ b/node/repeat.go
@@ -13,7 +13,11 @@
 const (
 	writeTimeout        = 2500 * time.Millisecond // one attempt; a slow store takes over a second
 	maxAttemptsInFlight = 4
-	retryDelay          = 100 * time.Millisecond // after a failed attempt
+	// maxUrgentAttempts replaces maxAttemptsInFlight for the few calls of a takeover: with
+	// half of the answers lost, 1 of 16 calls would otherwise wait for writeTimeout.
+	maxUrgentAttempts = 8
+	urgentAttempts    = 3                      // with the same delay, before it doubles
+	retryDelay        = 100 * time.Millisecond // after a failed attempt
 )
 
 // repeated is an append to the store that is repeated until its outcome is known. An
@@ -27,13 +31,31 @@
 	// if so.
 	outcome func(err error) (done bool, result error)
 	failed  func(err error) // called after each attempt that is not final
+	urgent  bool            // a call of a takeover, during which the cell has no owner
+}
+
+// maxInFlight returns the maximum number of attempts in flight.
+func (r repeated) maxInFlight() int {
+	if r.urgent {
+		return maxUrgentAttempts
+	}
+	return maxAttemptsInFlight
+}
+
+// delayAfter returns the time from the start of an attempt, counted from 1, to that of the
+// next one.
+func (r repeated) delayAfter(attempts int) time.Duration {
+	if r.urgent {
+		return r.delay.Before(1 + (attempts-1)/urgentAttempts)
+	}
+	return r.delay.Before(attempts)
 }
 
 // run returns the result and the number of attempts.
 func (r repeated) run(ctx context.Context) (attempts int, result error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	results := make(chan error, maxAttemptsInFlight)
+	results := make(chan error, r.maxInFlight())
 	attempt := func() {
 		defer crash.End(r.about.keysAndValues)
 		call, cancel := context.WithTimeout(ctx, writeTimeout)
@@ -47,7 +69,7 @@
 	}
 	go attempt()
 	inFlight, attempts := 1, 1
-	timer := time.NewTimer(r.delay.Before(attempts))
+	timer := time.NewTimer(r.delayAfter(attempts))
 	defer timer.Stop()
 	for {
 		start := false
@@ -63,8 +85,8 @@
 				start = true
 			}
 		case <-timer.C:
-			start = inFlight < maxAttemptsInFlight
-			timer.Reset(r.delay.Before(attempts + 1))
+			start = inFlight < r.maxInFlight()
+			timer.Reset(r.delayAfter(attempts + 1))
 		case <-ctx.Done():
 			return attempts, ctx.Err()
 		}
