--- a/dispatch/refusedwork_test.go
+++ b/dispatch/refusedwork_test.go
@@ -9,6 +9,8 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/peridotlock/peridotlock/fleet"
+	"github.com/peridotlock/peridotlock/policy"
+	"github.com/peridotlock/peridotlock/provider"
 	"github.com/peridotlock/peridotlock/submission"
 )
 
@@ -240,3 +242,72 @@
 		})
 	})
 }
+
+// TestFailedTaskKeepsOthersWaiting guards against tasks that wait behind one that may not use the only
+// executor with room, for as long as others of their submission run.
+func TestFailedTaskKeepsOthersWaiting(t *testing.T) {
+	Convey("Given a submission with a long task, and tasks that wait since two executors are full", t, func() {
+		sim := newSimulation(2, 1)
+		room := sim.executors[0].size
+		sim.executors[0].size.MilliCPU = 500
+		sim.submit(idA, newSubmission(sized(longRunning(1), 8000)))
+		sim.submit(idB, newSubmission(tasks(3, 500*time.Millisecond), sized(tasks(1, time.Hour), 400)))
+		sim.run(2 * time.Second)
+		So(sim.running(idA), ShouldEqual, 1)
+		So(sim.running(idB), ShouldEqual, 1)
+
+		Convey("when an executor on which the first of them has failed gets room, the others run there", func() {
+			waiting := sim.core.jobs[idB].occurrence(0).steps[0].waiting
+			So(len(waiting), ShouldEqual, 3)
+			waiting[0].avoidExecutor, waiting[1].avoidExecutor = "i-0", "i-1"
+			waiting[2].avoidExecutor = "i-0"
+			sim.executors[0].size = room
+			So(sim.runUntil(maxIdleTime, func() bool { return sim.completed[idB+".0.0.1"] }), ShouldBeTrue)
+			So(len(sim.core.jobs[idB].occurrence(0).steps[0].waiting), ShouldEqual, 2)
+
+			Convey("and it returns there if no other gets room", func() {
+				So(sim.runUntil(2*maxAvoidedWait, func() bool { return sim.completed[idB+".0.0.0"] && sim.completed[idB+".0.0.2"] }), ShouldBeTrue)
+				So(sim.violations, ShouldBeEmpty)
+			})
+		})
+	})
+}
+
+// TestOnlyPausedExecutorCanRunWork guards against work that waits for the end of a pause although
+// no other executor can ever run it.
+func TestOnlyPausedExecutorCanRunWork(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		accelerators int64
+		advised      bool
+	}{
+		{"the others have no accelerators", 1, false},
+		{"the advice service refuses the others", 0, true},
+	} {
+		Convey("Given an executor that is paused after failures, and work that only it can run since "+c.name, t, func() {
+			sim := newSimulation(4, 1)
+			only := sim.executors[3]
+			only.size.Accelerators = 1
+			if c.advised {
+				sim.advisor = &fakeAdvisor{queue: advisedQueue, allowed: []provider.ExecutorID{only.id}}
+				sim.config = policy.New(2, []policy.Queue{{Name: "q", Service: "s", MaxAttempts: 3}, {Name: advisedQueue, Service: "s", MaxAttempts: 3, Advised: true}},
+					[]policy.Service{{Name: "s", RejectsOverload: true}})
+				sim.core.SetConfig(sim.config)
+			}
+			sim.fails = func(_ *fakeExecutor, task string) bool { return strings.HasPrefix(task, idA) }
+			sim.run(time.Second)
+			work := tasks(1, 100*time.Millisecond)
+			work.Size.Accelerators = 1
+			sim.submit(idA, newSubmission(work))
+			So(sim.runUntil(20*time.Second, func() bool { return sim.publishedStates[idA] == submission.Failed }), ShouldBeTrue)
+			So(sim.core.executors[only.id].pausedUntil, ShouldBeGreaterThan, sim.now+maxIdleTime)
+
+			Convey("it is started there in time", func() {
+				work.Size.Accelerators = c.accelerators
+				sim.submitTo(map[bool]string{false: "q", true: advisedQueue}[c.advised], idB, newSubmission(work))
+				So(sim.runUntil(maxIdleTime, func() bool { return sim.running(idB) > 0 }), ShouldBeTrue)
+				So(sim.violations, ShouldBeEmpty)
+			})
+		})
+	}
+}
