--- a/dispatch/reservationcheck_test.go
+++ b/dispatch/reservationcheck_test.go
@@ -1,7 +1,7 @@
 package dispatch
 
 import (
-	"maps"
+	"fmt"
 	"slices"
 	"time"
 
@@ -53,42 +53,44 @@
 // check adds a violation for each reservation that is not accounted for.
 func (rc *reservationChecker) check(sim *simulation) {
 	rc.follow(sim.core)
-	current := map[*run]bool{}
-	for _, id := range slices.Sorted(maps.Keys(sim.core.executors)) {
-		e := sim.core.executors[id]
+	var faults []string
+	for id, e := range sim.core.executors {
 		var reserved fleet.Resources
-		for _, r := range e.sortedRuns() {
-			current[r] = true
+		for _, r := range e.runs {
 			reserved = reserved.Add(reservation(r.task.step.spec))
-			rc.checkRun(sim, r)
+			if fault := rc.faultOf(sim, r); fault != "" {
+				rc.faulty[r] = true
+				faults = append(faults, fmt.Sprintf("%s run %d %s", r.taskName, r.number, fault))
+			}
 		}
 		if reserved != e.reserved {
-			sim.addViolation("%v reserved on %s, its runs need %v", e.reserved, id, reserved)
+			faults = append(faults, fmt.Sprintf("%v reserved on %s, its runs need %v", e.reserved, id, reserved))
 		}
 	}
-	maps.DeleteFunc(rc.expected, func(r *run, _ time.Duration) bool { return !current[r] })
-	maps.DeleteFunc(rc.faulty, func(r *run, _ bool) bool { return !current[r] })
+	slices.Sort(faults)
+	for _, fault := range faults {
+		sim.addViolation("%s", fault)
+	}
 }
 
-func (rc *reservationChecker) checkRun(sim *simulation, r *run) {
+// faultOf returns what is wrong with the reservation of a run, once; "" for nothing.
+func (rc *reservationChecker) faultOf(sim *simulation, r *run) string {
 	if rc.faulty[r] {
-		return
+		return ""
 	}
 	id := r.executor.info.ID
 	if r.state == runPlanned {
 		if sim.pending == nil || !slices.Contains(sim.pending.runs, r) {
-			rc.faulty[r] = true
-			sim.addViolation("%s run %d is planned on %s, but is in no batch that is being stored", r.taskName, r.number, id)
+			return fmt.Sprintf("is planned on %s, but is in no batch that is being stored", id)
 		}
-		return
+		return ""
 	}
 	since, known := rc.expected[r]
-	if !known {
+	switch {
+	case !known:
 		rc.expected[r] = sim.now
-		return
-	}
-	if rc.reportAt[id]-since > maxUnreported {
-		rc.faulty[r] = true
-		sim.addViolation("%s run %d is reserved on %s, whose reports have not listed it for %v", r.taskName, r.number, id, rc.reportAt[id]-since)
+	case rc.reportAt[id]-since > maxUnreported:
+		return fmt.Sprintf("is reserved on %s, whose reports have not listed it for %v", id, rc.reportAt[id]-since)
 	}
+	return ""
 }
