--- a/node/confirm.go
+++ b/node/confirm.go
@@ -9,19 +9,21 @@
 	"github.com/peridotlock/peridotlock/internal/crash"
 )
 
-// confirmInterval is the time from the confirmation of a term that the group does not list to
-// the next read of the newest claim. It leaves time for several failed reads.
+// confirmInterval is the time from the confirmation of a term that the log must confirm to the
+// next read of the newest claim. It leaves time for several failed reads.
 const confirmInterval = 2 * time.Second
 
 // term is what a member and the owner of a cell both know of a term. A term that the group
-// lists is valid. Another one is valid for ownerStoreTimeout after a moment at which no newer
-// claim was stored: a newer owner waits that long, counted from its claim, for executors
-// that only this owner can reach.
+// has listed all the time is valid. Another one is valid for ownerStoreTimeout after a moment
+// at which no newer claim was stored: a newer owner waits that long, counted from its claim,
+// for executors that only this owner can reach. That the group lists the cell again says
+// nothing about claims: another VM may have stored one meanwhile, or store it yet.
 type term struct {
 	mu          sync.Mutex
 	fence       int64 // fencing token; 0 before the claim is stored
 	confirmedAt time.Duration
-	unlisted    bool
+	unlisted    bool // the newest join does not list the cell
+	wasUnlisted bool // a join in the term did not list the cell
 	confirming  bool // a read of the newest claim is under way
 }
 
@@ -39,7 +41,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.unlisted = false
-	t.confirmedAt = max(t.confirmedAt, sent)
+	if !t.wasUnlisted {
+		t.confirmedAt = max(t.confirmedAt, sent)
+	}
 }
 
 // leaveGroup records that the group does not list the cell for this VM. It reports
@@ -48,7 +52,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	wasListed = !t.unlisted
-	t.unlisted = true
+	t.unlisted, t.wasUnlisted = true, true
 	return wasListed
 }
 
@@ -65,7 +69,7 @@
 func (t *term) isValid(now time.Duration) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return !t.unlisted || now-t.confirmedAt < ownerStoreTimeout
+	return !t.wasUnlisted || now-t.confirmedAt < ownerStoreTimeout
 }
 
 // beginConfirmation reports whether the newest claim must be read for the term to go on, and
@@ -73,7 +77,7 @@
 func (t *term) beginConfirmation(now time.Duration) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.unlisted || t.fence == 0 || t.confirming || now-t.confirmedAt < confirmInterval {
+	if !t.wasUnlisted || t.fence == 0 || t.confirming || now-t.confirmedAt < confirmInterval {
 		return false
 	}
 	t.confirming = true
@@ -86,8 +90,8 @@
 	t.confirming = false
 }
 
-// confirmTerms reads the newest claims of the cells that this VM serves though the group does
-// not list them for it. It does not wait for the answers, so that a slow read delays no join.
+// confirmTerms reads the newest claims of the cells whose terms the log must confirm. It does
+// not wait for the answers, so that a slow read delays no join.
 func (m *member) confirmTerms(ctx context.Context) {
 	for cell, o := range m.owned {
 		if sent := boottime.Now(); o.beginConfirmation(sent) {
