Count log lines of a test atomically

TestExecutorsThatNeverAnswerAreCalledRarely counted lines from several goroutines without a lock: the race detector reported it in one of five runs (load 25 to 30 on 8 cores). The limits that it checks are the same.

--- a/node/oddentries_test.go
+++ b/node/oddentries_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -133,10 +134,10 @@
 		c := newStore(t, 1)
 		c.addExecutor("i-0", "r1", 100*time.Millisecond)
 		good := standin.NewExecutor("odd", 0).RegistryEntry("s", "127.0.0.1:1", "d")
-		lines := 0
+		var lines atomic.Int64 // several goroutines log
 		n := c.newNode("vm-0", funcr.New(func(_, args string) {
 			if strings.Contains(args, "dependency lost") {
-				lines++
+				lines.Add(1)
 			}
 		}, funcr.Options{}))
 		ctx, cancel := context.WithCancel(context.Background())
@@ -169,7 +170,7 @@
 		So(<-done, ShouldBeNil)
 		Convey("they are called once in unseenRetryDelay at most, are logged at a bounded rate, and not called once they are gone", func() {
 			So(calls, ShouldBeBetween, ghosts, ghosts*int(span/unseenRetryDelay)+ghosts)
-			So(lines, ShouldBeLessThanOrEqualTo, maxLostLines*int(settle/time.Second))
+			So(lines.Load(), ShouldBeLessThanOrEqualTo, maxLostLines*int(settle/time.Second))
 			So(callsEnd, ShouldBeTrue)
 		})
 	})
