--- a/node/confirm.go
+++ b/node/confirm.go
@@ -72,6 +72,13 @@
 	return !t.wasUnlisted || now-t.confirmedAt < ownerStoreTimeout
 }
 
+// isClaimed reports whether the claim of the term is stored.
+func (t *term) isClaimed() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.fence != 0
+}
+
 // beginConfirmation reports whether the newest claim must be read for the term to go on, and
 // is not being read. The caller then reads it and calls endConfirmation.
 func (t *term) beginConfirmation(now time.Duration) bool {
--- a/node/tenure.go
+++ b/node/tenure.go
@@ -64,6 +64,11 @@
 	return isOnly || now-t.changedAt < settleTime
 }
 
+// hasSettled reports whether the group has been unchanged for settleTime.
+func (t *tenure) hasSettled(now time.Duration, generation int64) bool {
+	return generation == t.newest && now-t.changedAt >= settleTime
+}
+
 func (t *tenure) giveUp(cell int, now time.Duration) {
 	if t.givenUpAt == nil {
 		t.givenUpAt = map[int]time.Duration{}
--- a/node/tenure_test.go
+++ b/node/tenure_test.go
@@ -1,10 +1,16 @@
 package node
 
 import (
+	"context"
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr"
 	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/peridotlock/peridotlock/boottime"
+	"github.com/peridotlock/peridotlock/config"
+	"github.com/peridotlock/peridotlock/provider"
 )
 
 // A member released its cell as soon as the group dealt it to another one. While the store
@@ -108,3 +114,35 @@
 		})
 	})
 }
+
+// TestCellThatCannotBeClaimedIsGivenUp guards against a VM that can join but not claim, and keeps
+// the group from assigning its only cell to another one.
+func TestCellThatCannotBeClaimedIsGivenUp(t *testing.T) {
+	Convey("Given a member that has not claimed its only cell, which is then assigned to another VM", t, func() {
+		m := newMember(New(config.VM{Name: "vm-1", Log: "127.0.0.1:1"}, logr.Discard()))
+		stopped := make(chan struct{})
+		close(stopped)
+		o := &ownership{stop: func() {}, stopped: stopped}
+		m.owned[0] = o
+		elsewhere := provider.Assignment{Generation: 51}
+		now := boottime.Now()
+		m.tenure.observe(now, 50, []int{0}, map[int]bool{0: true})
+		m.applyAssignment(context.Background(), elsewhere, now)
+		So(m.owned, ShouldContainKey, 0)
+		So(m.tenure.named, ShouldEqual, 50)
+
+		Convey("once the group has settled, it names the generation that took the cell away", func() {
+			m.tenure.changedAt -= settleTime
+			m.applyAssignment(context.Background(), elsewhere, now)
+			So(m.owned, ShouldBeEmpty)
+			So(m.tenure.named, ShouldEqual, 51)
+		})
+		Convey("it keeps a cell that it has claimed", func() {
+			o.begin(7, now)
+			m.tenure.changedAt -= settleTime
+			m.applyAssignment(context.Background(), elsewhere, now)
+			So(m.owned, ShouldContainKey, 0)
+			So(m.tenure.named, ShouldEqual, 50)
+		})
+	})
+}
