Run the seeds of the new random tests beside each other, and say why a deal is repeated

The seeds of the two new random tests are independent; checks, seeds and bounds are unchanged.

TestOwnerKeepsCellWhileGroupDealsAnew failed in three runs at line 57, beside load: an instrumented run (trial) shows two live members at the first deal, and that it deals the cell to the VM that may have joined first and has it already. The deal is repeated since; its comment named another reason.

--- a/dispatch/reservemodel_test.go
+++ b/dispatch/reservemodel_test.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -41,13 +43,16 @@
 // TestModelReservedRoom guards against work that waits for room which is reserved for larger tasks
 // behind long batch work.
 func TestModelReservedRoom(t *testing.T) {
-	waits := 0
+	var waits atomic.Int64
+	t.Cleanup(func() { t.Logf("%d waits", waits.Load()) })
 	for seed := range uint64(40) {
-		l := runReservationModel(seed)
-		waits += l.checker.seen
-		if all := append(l.checker.violated, l.violations...); len(all) > 0 {
-			t.Errorf("seed %d: %d violations, first: %s", seed, len(all), all[0])
-		}
+		t.Run(fmt.Sprintf("seed_%d", seed), func(t *testing.T) {
+			t.Parallel()
+			l := runReservationModel(seed)
+			waits.Add(int64(l.checker.seen))
+			if all := append(l.checker.violated, l.violations...); len(all) > 0 {
+				t.Errorf("%d violations, first: %s", len(all), all[0])
+			}
+		})
 	}
-	t.Logf("%d waits", waits)
 }
--- a/dispatch/waitkinds_test.go
+++ b/dispatch/waitkinds_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -131,12 +132,14 @@
 // TestModelSpecialWorkWaits guards against work that needs accelerators, a label, a ticket or the
 // end of another occurrence, and waits although it could run.
 func TestModelSpecialWorkWaits(t *testing.T) {
-	waits := 0
+	var waits atomic.Int64
 	const seeds = 30
+	t.Cleanup(func() { t.Logf("%d seeds, %d waits", seeds, waits.Load()) })
 	for seed := range uint64(seeds) {
 		t.Run(fmt.Sprintf("seed_%d", seed), func(t *testing.T) {
+			t.Parallel()
 			l := runKindsModel(seed)
-			waits += l.checker.seen
+			waits.Add(int64(l.checker.seen))
 			if len(l.checker.violated) > 0 {
 				name := strings.Fields(l.checker.violated[0])[1]
 				t.Errorf("%d violations, first: %s\n%+v\n%s", len(l.checker.violated), l.checker.violated[0],
@@ -144,5 +147,4 @@
 			}
 		})
 	}
-	t.Logf("%d seeds, %d waits", seeds, waits)
 }
--- a/node/keepcell_test.go
+++ b/node/keepcell_test.go
@@ -53,7 +53,7 @@
 		})
 		Convey("an owner from which it is taken at once serves until the next one fences it", func() {
 			for i := range 4 {
-				// Beside load, the other VM may have expired at the first deal.
+				// The first deal changes nothing if the VM that joined first has the cell already.
 				dealt := time.Time{}
 				So(eventually(func() bool {
 					if time.Since(dealt) > 3*time.Second {
