--- a/dispatch/waitmodel_test.go
+++ b/dispatch/waitmodel_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -298,16 +299,17 @@
 	for seed := range uint64(30) {
 		seeds = append(seeds, seed)
 	}
-	waits := 0
+	var waits atomic.Int64
+	t.Cleanup(func() { t.Logf("%d seeds, %d waits", len(seeds), waits.Load()) })
 	for _, seed := range seeds {
 		t.Run(fmt.Sprintf("seed_%d", seed), func(t *testing.T) {
+			t.Parallel()
 			l := runWaitModel(seed)
-			waits += l.checker.seen
+			waits.Add(int64(l.checker.seen))
 			if len(l.checker.violated) > 0 {
 				name := strings.Fields(l.checker.violated[0])[1]
 				t.Errorf("%d violations, first: %s\n%s", len(l.checker.violated), l.checker.violated[0], strings.Join(l.traceOf(name), "\n"))
 			}
 		})
 	}
-	t.Logf("%d seeds, %d waits", len(seeds), waits)
 }
