--- a/node/claim.go
+++ b/node/claim.go
@@ -20,7 +20,7 @@
 // claim appends the record of a new term and returns the term's fencing token.
 // The token derives from the record's offset, so it is unique. The record carries
 // no epoch: with one, the log would answer an equal record from another VM as a
-// repeat of the same append. It names its claim, which tells a claim that was stored
+// repeat of the same append. It names its claim, which distinguishes one that was stored
 // without an answer from those of other VMs and of earlier terms of this VM.
 func (n *Node) claim(ctx context.Context, p provider.Partition) (int64, error) {
 	id := n.vm.Name + " " + rand.Text()
--- a/node/tenure.go
+++ b/node/tenure.go
@@ -6,7 +6,7 @@
 	// settleTime is the time without a change in the group after which a member hands over
 	// a cell that the group has assigned to another one.
 	settleTime = 2 * time.Second
-	// handoverTime is the time for which a member serves a cell on after it has told the
+	// handoverTime is the time for which a member serves a cell on after it has asked the
 	// group to hand it over. A claim needs the end of the cell's partition, which moves
 	// with each append, so that the new owner could wait for ever at a slow store.
 	handoverTime = 2 * time.Second
