Review case 3: tasks that are done are started again after a cut

Cause: executors return 500 ends at a time. A report that lists fewer ends than there are is handled as if it were complete, and runs that it does not list count as lost.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -30,6 +30,7 @@
 
 var cases = map[string]func(p *playing) (breaks []string, err error){
 	"recur": playRecur,
+	"ends":  playEnds,
 	"rack":  playRack,
 }
 
