Review case 5: a gang that checkpoints never goes on after a crash

Cause: each member of a gang is started with its own newest checkpoint, while all must carry the same value.

Change: review/5 and its part of the stand-ins.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -32,6 +32,7 @@
 	"recur": playRecur,
 	"ends":  playEnds,
 	"rack":  playRack,
+	"gang":  playGang,
 }
 
 func main() {
