Wait for the rest of an executor's ends before a run counts as lost

Cause: an executor returns 500 unacknowledged ends at a time. The owner took a run that is in neither list of a report for lost, and queued its task again, although its end was among those that came with the next report. The same held for starts without an answer and for runs of an earlier owner.

Until a report lists all ends, no unlisted run counts as lost: it has ended, but its end is not known yet.

The check of reservations in simulations takes a run that a truncated report leaves out for accounted for: in TestTruncatedEnds/the_store_is_away executors list 3 of 8 ends for 4 s, as the protocol says, and nothing tells what became of the others. Its bound holds from the next complete report on.

--- a/dispatch/reservationcheck_test.go
+++ b/dispatch/reservationcheck_test.go
@@ -38,6 +38,13 @@
 		return
 	}
 	rc.reportAt[id] = sim.now
+	if report.EndsTruncated { // any run that it leaves out may have ended
+		for _, r := range e.runs {
+			if _, known := rc.expected[r]; known {
+				rc.expected[r] = sim.now
+			}
+		}
+	}
 	for _, status := range report.Running {
 		r := e.runs[status.Task]
 		switch {
--- a/dispatch/reserved.go
+++ b/dispatch/reserved.go
@@ -30,12 +30,13 @@
 	UnreportedUnanswered
 	UnreportedRestored
 	UnreportedNoContact // the executor has not reported in this term or not lately
+	UnreportedTruncated // it may have ended: the newest report does not list all ends
 	UnreportedStates
 )
 
 // UnreportedStateName returns the name of a state for metrics and the log.
 func UnreportedStateName(state int) string {
-	return [UnreportedStates]string{"planned", "starting", "running", "unanswered", "restored", "no_contact"}[state]
+	return [UnreportedStates]string{"planned", "starting", "running", "unanswered", "restored", "no_contact", "ends_truncated"}[state]
 }
 
 // Reservations compares what an owner has reserved with what executors report.
@@ -104,7 +105,7 @@
 			continue
 		}
 		sums.Unreported[state] = sums.Unreported[state].Add(size)
-		if state == UnreportedPlanned || state == UnreportedNoContact || e.lastReportSent-c.expectedSince(r) <= maxUnreported {
+		if state == UnreportedPlanned || state == UnreportedNoContact || state == UnreportedTruncated || e.lastReportSent-c.expectedSince(r) <= maxUnreported {
 			continue
 		}
 		if overdue == nil || compareNames(r.taskName, overdue.taskName) < 0 {
@@ -135,6 +136,8 @@
 		return UnreportedPlanned, c.expectedSince(r) < e.lastReportSent
 	case !e.reported || e.contactLostAt != 0 || now-e.lastReportAt > maxReportAge:
 		return UnreportedNoContact, true
+	case e.endsTruncated:
+		return UnreportedTruncated, c.expectedSince(r) < e.lastReportSent
 	}
 	return [...]int{
 		runStarting: UnreportedStarting, runRunning: UnreportedRunning, runUnanswered: UnreportedUnanswered, runRestored: UnreportedRestored,
