Keep strays whose ends a truncated report leaves out

A stray keeps its task from starting until it has ended. A report that didn't list it as running cleared it, although its end may be beyond the listed ends. Callers would see a task run again after it was done, where an executor has over 500 ends to return.

Change: a stray has its run number, and is kept while a report with truncated ends lists it neither as running nor as ended. The check of reservations asks for the run of a stray as well.

--- a/dispatch/reservationcheck_test.go
+++ b/dispatch/reservationcheck_test.go
@@ -51,7 +51,7 @@
 		case r != nil && r.number == status.Run:
 			rc.expected[r] = sim.now
 		case e.hasUnknownRun || sim.core.heldStep(status.Task) != nil:
-		case !slices.Contains(e.strays, sim.core.findTask(status.Task)):
+		case !slices.Contains(e.strays, stray{task: sim.core.findTask(status.Task), run: status.Run}):
 			sim.addViolation("%s lists %s run %d, which its owner does not account for", id, status.Task, status.Run)
 		}
 	}
--- a/dispatch/stray.go
+++ b/dispatch/stray.go
@@ -14,6 +14,10 @@
 // since it was given up too early, or since its start was carried out late. Its task must not
 // run twice, so a stray is either adopted or stopped, and its task is not started again
 // before a report shows that it has ended.
+type stray struct {
+	task *task
+	run  int
+}
 
 // adopt makes a listed run the current run of its task. It returns nil if the task has a
 // newer run or must not run.
@@ -54,9 +58,7 @@
 		return
 	}
 	if t := c.findTask(status.Task); t != nil {
-		e.unexpected = e.unexpected.Add(reservation(t.step.spec))
-		e.strays = append(e.strays, t)
-		t.strays = append(t.strays, e)
+		e.addStray(stray{task: t, run: status.Run})
 		if t.phase == taskPending {
 			c.markDirty(t.step.job)
 		}
@@ -71,11 +73,31 @@
 	c.events = append(c.events, Event{Kind: "stray", Task: status.Task, Run: status.Run, Executor: e.info.ID, Detail: c.describeExpected(status.Task)})
 }
 
+func (e *executor) addStray(s stray) {
+	e.unexpected = e.unexpected.Add(reservation(s.task.step.spec))
+	e.strays = append(e.strays, s)
+	s.task.strays = append(s.task.strays, e)
+}
+
+// keepStrays keeps those of the earlier strays that a report with truncated ends lists neither as
+// running nor as ended: the task of one that is done must not start again before that is known.
+func (e *executor) keepStrays(earlier []stray, report provider.HeartbeatReport) {
+	if len(earlier) == 0 {
+		return
+	}
+	listed := listedRuns(report)
+	for _, s := range earlier {
+		if !listed[runKey{s.task.id().String(), s.run}] {
+			e.addStray(s)
+		}
+	}
+}
+
 // clearStrays forgets the strays of an executor: it is about to list them again, or they
 // can't be running any more.
 func (e *executor) clearStrays() {
-	for _, t := range e.strays {
-		t.strays = slices.DeleteFunc(t.strays, func(other *executor) bool { return other == e })
+	for _, s := range e.strays {
+		s.task.strays = slices.DeleteFunc(s.task.strays, func(other *executor) bool { return other == e })
 	}
 	e.strays = nil
 	e.unexpected, e.hasUnknownRun = fleet.Resources{}, false
--- a/dispatch/stray_test.go
+++ b/dispatch/stray_test.go
@@ -1,10 +1,13 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/peridotlock/peridotlock/provider"
 )
 
 // TestStray guards against a second run of a task while an executor still has one that
@@ -54,6 +57,24 @@
 			So(sim.starts, ShouldEqual, 2)
 			So(sim.violations, ShouldBeEmpty)
 		})
+		Convey("an older run that is done, and whose end is listed after others, is not followed by another one", func() {
+			waiting.runNumber++
+			sim.lossRate, sim.maxListedEnds = 1, 1
+			sim.executionDelay = func() time.Duration { return time.Minute } // of the stop
+			e.nextHeartbeatAt = sim.now
+			sim.run(simulationStep)
+			So(waiting.isStray(), ShouldBeTrue)
+			sim.lossRate, sim.storeAway = 0, false
+			for i := range 3 {
+				e.end(&fakeRun{task: fmt.Sprintf("%s.0.0.%d", idB, i), number: 1}, provider.RunDone, sim.now)
+			}
+			e.runs[name].endsAt = sim.now
+			So(sim.runUntil(8*time.Second, func() bool { return sim.publishedStates[idA].IsFinal() }), ShouldBeTrue)
+			sim.run(2 * time.Second)
+			So(sim.violations, ShouldBeEmpty)
+			So(sim.starts, ShouldEqual, 1)
+			So(waiting.isStray(), ShouldBeFalse)
+		})
 		Convey("the task starts elsewhere once the lease of an unreachable executor is over", func() {
 			waiting.runNumber++
 			e.nextHeartbeatAt = sim.now
