--- a/dispatch/truncatedends_test.go
+++ b/dispatch/truncatedends_test.go
@@ -5,6 +5,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/peridotlock/peridotlock/submission"
 )
 
 // TestTruncatedEnds guards against a second start of tasks that are done: executors list some
@@ -74,6 +76,41 @@
 	}
 }
 
+// TestEndsBeforeFirstReport guards against runs that count as lost with an earlier instance of their
+// executor although the new instance has carried them out and ended before its first report: failed
+// ones were not counted, and of those that are done and not listed yet the tasks started again.
+func TestEndsBeforeFirstReport(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		count  int
+		listed int // number of ends that the executor lists at a time
+		fails  bool
+		starts int
+		state  submission.State
+	}{
+		{name: "done", count: 8, listed: simulationListedEnds, starts: 8, state: submission.Completed},
+		{name: "done, one end at a time", count: 8, listed: 1, starts: 8, state: submission.Completed},
+		{name: "failed", count: 1, listed: simulationListedEnds, fails: true, starts: 3, state: submission.Failed},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			sim := newSimulation(1, 1)
+			sim.maxListedEnds = c.listed
+			sim.fails = func(*fakeExecutor, string) bool { return c.fails }
+			sim.run(2 * time.Second)
+			e := sim.executors[0]
+			e.nextHeartbeatAt = sim.now + 300*time.Millisecond
+			e.crash()
+			e.start(sim.now, true)
+			sim.submit(idA, newSubmission(tasks(c.count, 50*time.Millisecond)))
+			sim.run(20 * time.Second)
+			if sim.starts != c.starts || sim.publishedStates[idA] != c.state || len(sim.violations) > 0 {
+				t.Errorf("%d starts, want %d; state %v, want %v; violations %v\n%s", sim.starts, c.starts, sim.publishedStates[idA], c.state,
+					sim.violations, strings.Join(sim.traceOf(idA), "\n"))
+			}
+		})
+	}
+}
+
 // TestModelTruncatedEnds simulates random faults with executors that list few ends at a time.
 func TestModelTruncatedEnds(t *testing.T) {
 	const seeds = 100
