--- a/dispatch/truncatedends_test.go
+++ b/dispatch/truncatedends_test.go
@@ -76,6 +76,29 @@
 	}
 }
 
+// TestReportsWhileEndsCannotBeStored guards against a heartbeat at each step for a start without an
+// answer: while the store is away, an executor with more ends than it lists returns the same ones.
+func TestReportsWhileEndsCannotBeStored(t *testing.T) {
+	const away = 3 * time.Second
+	sim := newSimulation(1, 1)
+	sim.maxListedEnds = 1
+	sim.callTimeout, sim.executionDelay = 400*time.Millisecond, func() time.Duration { return 0 }
+	sim.run(2 * time.Second)
+	sim.lossRate = 1
+	sim.submit(idA, newSubmission(tasks(8, 200*time.Millisecond)))
+	sim.run(100 * time.Millisecond)
+	sim.lossRate, sim.storeAway = 0, true
+	before := sim.executors[0].reports
+	sim.run(away)
+	if n, most := sim.executors[0].reports-before, int(away/heartbeatInterval)+2; n > most {
+		t.Errorf("%d reports in %v, want at most %d", n, away, most)
+	}
+	sim.storeAway = false
+	if !sim.runUntil(8*time.Second, func() bool { return sim.publishedStates[idA].IsFinal() }) || sim.starts != 8 || len(sim.violations) > 0 {
+		t.Errorf("%d starts of 8 tasks, state %v, violations %v", sim.starts, sim.publishedStates[idA], sim.violations)
+	}
+}
+
 // TestEndsBeforeFirstReport guards against runs that count as lost with an earlier instance of their
 // executor although the new instance has carried them out and ended before its first report: failed
 // ones were not counted, and of those that are done and not listed yet the tasks started again.
@@ -130,6 +153,10 @@
 						e.partitioned = true
 						sim.run(time.Duration(1+sim.rng.IntN(4)) * time.Second)
 						e.partitioned = false
+						if other := sim.executors[sim.rng.IntN(len(sim.executors))]; other.up && sim.rng.IntN(4) == 0 { // it starts again under its ID
+							other.crash()
+							other.start(sim.now, true)
+						}
 					}
 				}
 				steps += checkModel(t, sim, seed)
