Say in the line waiting whether a step is overdue, its rank and what is used

Cause: the line tells what refuses the executors, but not whether the step is overdue, why that did not help, or who comes before it. Change: the line waiting ends with that state, the rank and the owner's count of used capacity; the gauge peridotlock_overdue_steps counts overdue steps. No change of decisions.

--- a/dispatch/overdue.go
+++ b/dispatch/overdue.go
@@ -53,18 +53,49 @@
 
 // leniencyFor returns the leniency for the next task of a step that is refused all candidates.
 func (c *Core) leniencyFor(st *step, candidates []*candidate, now time.Duration) leniency {
-	waited := now - st.unplacedSince
 	switch {
-	case st.unplacedSince == 0 || waited < maxRefusedWait || !st.spec.LongRunning && st.job.hasCurrentRuns(now):
+	case !st.hasOverdueWait(now):
 		return strict
-	case st.spec.LongRunning || c.isMostlyFree(st.job.sub.Service, slices.Concat(candidates, c.paused)):
+	case st.spec.LongRunning || c.isMostlyFree(st.job.sub.Service, candidates):
 		return allowOvercommit
-	case waited < maxRefusedWaitBusy:
+	case now-st.unplacedSince < maxRefusedWaitBusy:
 		return strict
 	}
 	return allowHarm
 }
 
+// countOverdueSteps returns the number of steps that have been refused all executors for over
+// maxRefusedWait, of batch work only those of submissions without runs.
+func (c *Core) countOverdueSteps(now time.Duration) int {
+	n := 0
+	for _, st := range c.waiting {
+		if len(st.waiting) > 0 && st.hasOverdueWait(now) {
+			n++
+		}
+	}
+	return n
+}
+
+// hasOverdueWait reports whether a step has been refused all executors for over maxRefusedWait.
+// Batch work is not overdue while others of its submission run.
+func (st *step) hasOverdueWait(now time.Duration) bool {
+	return st.unplacedSince > 0 && now-st.unplacedSince >= maxRefusedWait && (st.spec.LongRunning || !st.job.hasCurrentRuns(now))
+}
+
+// overdueState says for the log whether a step that is refused all candidates is overdue.
+func (c *Core) overdueState(st *step, candidates []*candidate, now time.Duration) string {
+	switch c.leniencyFor(st, candidates, now) {
+	case allowOvercommit:
+		return "overdue, may share processors"
+	case allowHarm:
+		return "overdue"
+	}
+	if !st.spec.LongRunning && st.job.hasCurrentRuns(now) {
+		return "others of its submission run"
+	}
+	return "not overdue"
+}
+
 // hasCurrentRuns reports whether a run of the job was planned or known to exist recently. Others are
 // on executors that don't answer, and may have ended long before their leases do.
 func (j *job) hasCurrentRuns(now time.Duration) bool {
@@ -205,18 +236,24 @@
 	return n
 }
 
-// isMostlyFree reports whether most of a service's capacity is free, on the candidates or in all cells
-// together.
+// isMostlyFree reports whether most of a service's capacity is free, on the candidates and the paused
+// executors or in all cells together.
 func (c *Core) isMostlyFree(service string, candidates []*candidate) bool {
-	var size, used fleet.Resources
-	for _, cand := range candidates {
+	capacity, used := c.capacityOf(service, candidates)
+	others := c.otherCells[service]
+	return isMostFree(capacity, used) || isMostFree(capacity.Add(others.Size), used.Add(others.Used))
+}
+
+// capacityOf returns a service's capacity on the candidates and the paused executors, and how much of
+// it runs reserve.
+func (c *Core) capacityOf(service string, candidates []*candidate) (capacity, used fleet.Resources) {
+	for _, cand := range slices.Concat(candidates, c.paused) {
 		if cand.executor.info.Service == service {
-			size = size.Add(cand.host.Size)
+			capacity = capacity.Add(cand.host.Size)
 			used = used.Add(cand.host.Reserved).Sub(cand.reservation)
 		}
 	}
-	others := c.otherCells[service]
-	return isMostFree(size, used) || isMostFree(size.Add(others.Size), used.Add(others.Used))
+	return capacity, used
 }
 
 func isMostFree(size, used fleet.Resources) bool {
--- a/dispatch/refusal.go
+++ b/dispatch/refusal.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -61,9 +62,10 @@
 	waitingLogInterval = 2 * time.Second // between two lines of one step
 )
 
-// noteUnplaced notes that all executors are refused to the next waiting task of a step. Once
-// the step has waited for some time since its newest start, the log says why.
-func (c *Core) noteUnplaced(st *step, why refusals, now time.Duration) {
+// noteUnplaced notes that all candidates are refused to the next waiting task of a step. Once
+// the step has waited for some time since its newest start, the log says why, and whether
+// chooseOverdue has been tried.
+func (c *Core) noteUnplaced(st *step, candidates []*candidate, why refusals, now time.Duration) {
 	if st.unplacedSince == 0 {
 		st.unplacedSince = now
 	}
@@ -76,12 +78,15 @@
 	if t.isStray() {
 		reasons = "another run of the task is listed"
 	}
+	capacity, used := c.capacityOf(st.job.sub.Service, candidates)
 	c.events = append(c.events, Event{
 		Kind: "waiting",
 		Task: t.id().String(),
 		Run:  t.runNumber,
-		Detail: fmt.Sprintf("%d of %d tasks, %d mCPU and %d MB each; of %d executors %d accept work, refused for: %s",
-			len(st.waiting), len(st.tasks), st.spec.Size.MilliCPU, st.spec.Size.MemoryMB, len(c.executors), c.acceptingWork, reasons),
+		Detail: fmt.Sprintf("%d of %d tasks, %d mCPU and %d MB each; of %d executors %d accept work, refused for: %s; %s; rank %d of %d; used %d of %d mCPU, %d of %d MB",
+			len(st.waiting), len(st.tasks), st.spec.Size.MilliCPU, st.spec.Size.MemoryMB, len(c.executors), c.acceptingWork, reasons,
+			c.overdueState(st, candidates, now), slices.Index(c.waiting, st)+1, len(c.waiting),
+			used.MilliCPU, capacity.MilliCPU, used.MemoryMB, capacity.MemoryMB),
 		Age: now - st.unplacedSince,
 	})
 }
--- a/dispatch/reserved.go
+++ b/dispatch/reserved.go
@@ -63,7 +63,7 @@
 )
 
 // compareReservations compares reservations with the newest reports and counts the steps
-// that have not started, every reservationInterval.
+// that have not started or are overdue, every reservationInterval.
 func (c *Core) compareReservations(now time.Duration) {
 	if c.reservationsAt > 0 && now-c.reservationsAt < reservationInterval {
 		return
@@ -71,6 +71,7 @@
 	c.reservationsAt = now
 	c.reservations = Reservations{}
 	c.notStartedSteps = c.notStarted()
+	c.overdueSteps = c.countOverdueSteps(now)
 	var overdue []*run
 	for _, e := range c.executors {
 		if r := c.compareReservationsOf(e, now); r != nil && now >= e.unreportedLogAt {
