Add a test of a wide step behind a backlog of smaller submissions, which fails

Cause: overdue submissions get their runs in the order of rank, and only while half of the capacity is free by the owner's count, which is above what executors use.

--- a/dispatch/starvation_test.go
+++ b/dispatch/starvation_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -15,6 +16,10 @@
 // a task could run, none does, and most of the capacity is free.
 const maxIdleTime = 3 * time.Second
 
+// maxBacklogWait is the longest time for which a submission may wait for its next run behind a backlog
+// that keeps half of the capacity busy: the wait after which it is overdue without free capacity.
+const maxBacklogWait = 10 * time.Second
+
 // fitTime is the time in which the model of a small cell has enough readings for a fit, which
 // applies the statistics of other models.
 const fitTime = 10 * time.Second
@@ -25,9 +30,11 @@
 }
 
 // newServedCell returns a cell of six executors, each with a server that reserves a quarter of it.
-func newServedCell(seed uint64) *simulation {
-	sim := newSimulation(6, seed)
-	servers := longRunning(6)
+func newServedCell(seed uint64) *simulation { return newServedCellOf(6, seed) }
+
+func newServedCellOf(executors int, seed uint64) *simulation {
+	sim := newSimulation(executors, seed)
+	servers := longRunning(executors)
 	servers.Size = fleet.Resources{MilliCPU: 2000, MemoryMB: 1000}
 	servers.MaxPerExecutor, servers.TargetMs, servers.Image = 1, 100, "web"
 	sim.submit(idA, newSubmission(servers))
@@ -149,3 +156,53 @@
 		})
 	})
 }
+
+// TestWideStepStarvesBehindBacklog guards against accepted work that waits without a bound behind a backlog
+// of smaller submissions that start again and again, while most of the capacity is free.
+func TestWideStepStarvesBehindBacklog(t *testing.T) {
+	small := fleet.Resources{MilliCPU: 1000, MemoryMB: 300}
+	for seed := range uint64(2) {
+		sim := newServedCellOf(2, seed)
+		sim.storeLatency = 200 * time.Millisecond
+		sim.core.SetPeerModel(1, knownEffects(0, "long", "small", "wide"))
+		sim.run(fitTime)
+		sim.submit(idC, newSubmission(bestEffortTasks(4, "long", fleet.Resources{MilliCPU: 3400, MemoryMB: 800}, time.Hour)))
+		sim.run(time.Second)
+		sim.submit(idB, newSubmission(bestEffortTasks(17, "wide", small, 3*time.Second)))
+		for i := range 40 {
+			length := time.Duration(700+100*(i%6)) * time.Millisecond
+			sim.submit(fmt.Sprintf("%016x", 0xd00+i), newSubmission(bestEffortTasks(20, "small", small, length)))
+		}
+		checker := newAcceptedWaits(sim)
+		checker.quiet = sim.now
+		idle, longest := time.Duration(0), time.Duration(0)
+		used, steps := 0.0, 0.0
+		sim.runUntil(finishTime+8*time.Second, func() bool {
+			checker.observe()
+			if sim.now >= checker.quiet+maxBacklogWait {
+				steps++
+				for _, e := range sim.executors {
+					used += float64(e.used().MemoryMB) / float64(e.size.MemoryMB) / float64(len(sim.executors))
+				}
+			}
+			idle += simulationStep
+			if sim.running(idB) > 0 {
+				idle = 0
+			}
+			longest = max(longest, idle)
+			return false
+		})
+		if len(checker.violated) > 0 {
+			t.Errorf("seed %d: %d submissions could run and did not, first: %s", seed, len(checker.violated), checker.violated[0])
+		}
+		if used/steps < mostCapacity {
+			t.Errorf("seed %d: %.2f of the memory is in use while work waits that half of it is free for", seed, used/steps)
+		}
+		if longest >= maxBacklogWait {
+			t.Errorf("seed %d: no task of the wide step ran for %v", seed, longest)
+		}
+		if len(sim.violations) > 0 {
+			t.Errorf("seed %d: violations %v", seed, sim.violations)
+		}
+	}
+}
