Let overdue submissions take turns, and fill half of the capacity that is really free

Cause: a backlog of hundreds of submissions is overdue. Each may have one run that shares processors while half of the capacity is free. These runs were given in the order of rank, least remaining work first: runs end or are displaced, their submissions are overdue again 1.5 s later and come first again, so that steps with the most work left wait without a bound. And the owner's count of used capacity is above what executors use, as runs count from their plan until their end is reported: it stops at one half while the platform sees less in use for seconds. Change: batch work that is overdue is placed after all other work, that which has waited longest first; half of the capacity counts as free up to a tenth beyond the owner's count. All of dispatch but the known red passes.

--- a/dispatch/overdue.go
+++ b/dispatch/overdue.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -15,7 +16,9 @@
 // a server may be above its target by its own load, a suspect may run for long, as may the batch work
 // behind which a reservation waits, and there may be no other executor. A submission none
 // of whose tasks runs is therefore overdue after some time. It then gets one run at a time, or
-// one gang, on the executors with room where the least is expected to go wrong. Long-running
+// one gang, on the executors with room where the least is expected to go wrong. Submissions
+// take turns in the order of their waits: in the order of rank, a backlog whose runs end and are overdue
+// again would keep those with the most work waiting without a bound. Long-running
 // tasks are overdue one by one, whether others of their submission run or not. The paces of
 // best-effort runs follow the readings there as everywhere else.
 const (
@@ -31,6 +34,9 @@
 	overdueRetryDelay = 250 * time.Millisecond
 	// mostCapacity is the fraction of the capacity that has to be free, as the platform defines.
 	mostCapacity = 0.5
+	// maxUsageError is the fraction of the capacity by which an owner may count more as used than
+	// executors do: runs count from their plan until their end is reported.
+	maxUsageError = 0.1
 )
 
 // overdueRunPenalty outweighs the other parts of a score of an overdue best-effort task, for each
@@ -153,6 +159,44 @@
 	return false
 }
 
+// placeOverdue places overdue batch work, that which has waited longest first.
+func (c *Core) placeOverdue(b *Batch, candidates []*candidate, now time.Duration) {
+	var overdue []*step
+	for _, st := range c.waiting {
+		if !st.spec.LongRunning && !st.job.handingOver && len(st.waiting) > 0 && now >= st.nextOverdueAt && st.hasOverdueWait(now) {
+			overdue = append(overdue, st)
+		}
+	}
+	slices.SortStableFunc(overdue, func(x, y *step) int { return cmp.Compare(x.unplacedSince, y.unplacedSince) })
+	for _, st := range overdue {
+		lenient := c.leniencyFor(st, candidates, now)
+		switch {
+		case lenient == strict:
+		case st.spec.Gang:
+			c.placeGang(b, st, candidates, lenient, now)
+		default:
+			c.placeOneOverdue(b, st, candidates, lenient, now)
+		}
+	}
+}
+
+// placeOneOverdue places the first waiting task of a step that is not a stray, if it can.
+func (c *Core) placeOneOverdue(b *Batch, st *step, candidates []*candidate, lenient leniency, now time.Duration) {
+	i := slices.IndexFunc(st.waiting, func(t *task) bool { return !t.isStray() })
+	if i < 0 {
+		return
+	}
+	t := st.waiting[i]
+	cand := c.chooseOverdue(t, candidates, lenient, now)
+	if cand == nil {
+		return
+	}
+	st.waiting = slices.Delete(st.waiting, i, i+1)
+	st.unplacedSince = 0
+	c.assign(b, t, cand)
+	c.markOverdue(t.run)
+}
+
 // chooseOverdue returns the candidate for a task of an overdue submission, or nil.
 func (c *Core) chooseOverdue(t *task, candidates []*candidate, lenient leniency, now time.Duration) *candidate {
 	if lenient == strict || t.isStray() {
@@ -236,7 +280,7 @@
 	return n
 }
 
-// isMostlyFree reports whether most of a service's capacity is free, on the candidates and the paused
+// isMostlyFree reports whether most of a service's capacity may be free, on the candidates and the paused
 // executors or in all cells together.
 func (c *Core) isMostlyFree(service string, candidates []*candidate) bool {
 	capacity, used := c.capacityOf(service, candidates)
@@ -257,6 +301,6 @@
 }
 
 func isMostFree(size, used fleet.Resources) bool {
-	limit := 1 - mostCapacity
+	limit := 1 - mostCapacity + maxUsageError
 	return float64(used.MilliCPU) <= limit*float64(size.MilliCPU) && float64(used.MemoryMB) <= limit*float64(size.MemoryMB)
 }
