Pause an executor once for runs that fail together

Callers saw long-running tasks that did not run again for 20 s and more after executors had failed all runs for 10 s and were well again. Cause: the pause was doubled for each failed run, also for those that had been started before the first failure was known; an executor with five runs was paused for 3, 6, 12 and 20 s within one instant. Change: failures of runs that were started before the newest pause do not count. The decision is a type of its own, breaker.

--- a/dispatch/overdue.go
+++ b/dispatch/overdue.go
@@ -82,7 +82,7 @@
 
 // pausedCandidates returns the executors that are paused after failed runs.
 func (c *Core) pausedCandidates(now time.Duration) []*candidate {
-	return c.candidatesOf(func(e *executor) bool { return c.isAvailable(e, now) && now < e.pausedUntil })
+	return c.candidatesOf(func(e *executor) bool { return c.isAvailable(e, now) && e.breaker.isPaused(now) })
 }
 
 // overdueCandidates returns the candidates that could run a task. If there are at
@@ -175,8 +175,8 @@
 	if lenient == allowHarm && others > 0 {
 		return 0, refusedHarm
 	}
-	if now < e.pausedUntil {
-		score -= pausedPenalty * float64(e.failStreak)
+	if e.breaker.isPaused(now) {
+		score -= pausedPenalty * float64(e.breaker.failures)
 	}
 	score -= e.crashPenalty(t.crashUnit().crash.isSuspect(), now) + overdueRunPenalty*float64(others)
 	if e.info.ID == t.avoidExecutor {
--- a/dispatch/refusedwork_test.go
+++ b/dispatch/refusedwork_test.go
@@ -300,7 +300,7 @@
 			work.Size.Accelerators = 1
 			sim.submit(idA, newSubmission(work))
 			So(sim.runUntil(20*time.Second, func() bool { return sim.publishedStates[idA] == submission.Failed }), ShouldBeTrue)
-			So(sim.core.executors[only.id].pausedUntil, ShouldBeGreaterThan, sim.now+maxIdleTime)
+			So(sim.core.executors[only.id].breaker.until, ShouldBeGreaterThan, sim.now+maxIdleTime)
 
 			Convey("it is started there in time", func() {
 				work.Size.Accelerators = c.accelerators
