Try an executor with one run after a pause

Callers saw runs fail in groups on executors that failed everything: after each pause these got all work at once, and as the next pause was up to 20 s, they stayed empty for as long when they were well again. Cause: a pause ended by time alone; nothing told whether the executor was well, and the failure streak went on. Change: after the pause the breaker is half-open. The executor gets one run at a time, a trial: the shortest waiting batch task that has not failed, or else one that has an attempt left if it fails; no gang, no suspect of crashes, one of a step in each placement. A trial that is done closes the breaker, one that takes long does so when it has run for 1.5 s, a failed one doubles the pause. If only work waits that can't be a trial, the executor takes all work after 1.5 s as before. The reasons why an executor gets no work are one type, Hold; metrics peridotlock_held_executors{hold} and peridotlock_trials_total, lines trial and admit.

--- a/dispatch/overdue.go
+++ b/dispatch/overdue.go
@@ -38,8 +38,8 @@
 // has no bound.
 const overdueRunPenalty = 1e7
 
-// pausedPenalty outweighs the other parts of a score, for each failed run in a row on an executor
-// that is paused for them.
+// pausedPenalty outweighs the other parts of a score, for each pause in a row of an executor that
+// is paused.
 const pausedPenalty = 1e9
 
 // leniency says which reasons for refusals do not count for a step.
@@ -80,9 +80,9 @@
 	return false
 }
 
-// pausedCandidates returns the executors that are paused after failed runs.
+// pausedCandidates returns the executors that are paused after failed runs, or wait for a trial.
 func (c *Core) pausedCandidates(now time.Duration) []*candidate {
-	return c.candidatesOf(func(e *executor) bool { return c.isAvailable(e, now) && e.breaker.isPaused(now) })
+	return c.candidatesOf(func(e *executor) bool { return c.isAvailable(e, now) && e.breaker.open })
 }
 
 // overdueCandidates returns the candidates that could run a task. If there are at
@@ -115,7 +115,7 @@
 // fail. The runs of a gang st do not count for the gang.
 func (e *executor) testsPause(st *step, now time.Duration) bool {
 	for _, r := range e.runs {
-		if r.overdue && now-r.plannedAt < maxRefusedWait && !(st.spec.Gang && r.task.step == st) {
+		if (r.overdue || r.trial) && now-r.plannedAt < maxRefusedWait && !(st.spec.Gang && r.task.step == st) {
 			return true
 		}
 	}
@@ -175,8 +175,8 @@
 	if lenient == allowHarm && others > 0 {
 		return 0, refusedHarm
 	}
-	if e.breaker.isPaused(now) {
-		score -= pausedPenalty * float64(e.breaker.failures)
+	if e.breaker.open {
+		score -= pausedPenalty * float64(e.breaker.pauses)
 	}
 	score -= e.crashPenalty(t.crashUnit().crash.isSuspect(), now) + overdueRunPenalty*float64(others)
 	if e.info.ID == t.avoidExecutor {
--- a/node/reservations_test.go
+++ b/node/reservations_test.go
@@ -19,6 +19,7 @@
 		first.Reserved[dispatch.ReservedLongRunning] = fleet.Resources{MilliCPU: 4000, MemoryMB: 300}
 		first.Unreported[dispatch.UnreportedStarting] = fleet.Resources{MilliCPU: 1000, MemoryMB: 100}
 		first.Capacity, first.Free, first.UnknownRuns = fleet.Resources{MilliCPU: 8000}, fleet.Resources{MilliCPU: 4000}, 1
+		first.Trials, first.Held[dispatch.HoldPaused], second.Held[dispatch.HoldPaused] = 3, 2, 1
 		second.Unreported[dispatch.UnreportedStarting] = fleet.Resources{MilliCPU: 500, MemoryMB: 50}
 		second.Unexpected = fleet.Resources{MilliCPU: 70, MemoryMB: 7}
 		m.replace(dispatch.Stats{}, first)
@@ -38,11 +39,15 @@
 			`peridotlock_accepting_capacity_millicpu 8000`,
 			`peridotlock_accepting_free_millicpu 4000`,
 			`peridotlock_executors_with_unknown_runs 1`,
+			`peridotlock_trials_total 3`,
+			`peridotlock_held_executors{hold="paused"} 3`,
 		} {
 			So(text(), ShouldContainSubstring, line+"\n")
 		}
 		m.replace(first, dispatch.Stats{})
 		So(text(), ShouldContainSubstring, `peridotlock_reserved_unreported_millicpu{state="starting"} 500`+"\n")
 		So(text(), ShouldContainSubstring, "peridotlock_executors_with_unknown_runs 0\n")
+		So(text(), ShouldContainSubstring, `peridotlock_held_executors{hold="paused"} 1`+"\n")
+		So(text(), ShouldContainSubstring, "peridotlock_trials_total 3\n")
 	})
 }
