Start long-running tasks on paused executors when no other has room

Callers saw long-running tasks wait over the 3 s that the platform allows while executors with room for them were paused, though well again. Cause: paused executors were considered only when they were at least as many as the others that could ever run the task; that all of these were full did not count. Change: a long-running task that is overdue may also go to an executor that has been paused for 3 s, one at a time; such tasks have no limit of attempts.

--- a/dispatch/breaker.go
+++ b/dispatch/breaker.go
@@ -29,6 +29,12 @@
 // isHalfOpen reports whether the executor may get a trial.
 func (b *breaker) isHalfOpen(now time.Duration) bool { return b.open && now >= b.until }
 
+// mayTryLongRunning reports whether the executor may get a long-running task that no other one has room
+// for. Such tasks have no limit of attempts, and must run again soon.
+func (b *breaker) mayTryLongRunning(now time.Duration) bool {
+	return b.open && now >= b.openedAt+avoidPause
+}
+
 // pause returns the length of the newest pause.
 func (b *breaker) pause() time.Duration {
 	return min(maxAvoidPause, avoidPause<<min(max(0, b.pauses-1), 3))
--- a/dispatch/overdue.go
+++ b/dispatch/overdue.go
@@ -87,7 +87,8 @@
 
 // overdueCandidates returns the candidates that could run a task. If there are at
 // least as many paused ones, the tasks that failed there are a likelier cause than the executors,
-// and these are returned as well: all work would wait for the end of the pauses. A run that
+// and these are returned as well: all work would wait for the end of the pauses. A long-running task also gets one
+// that has been paused for some time. A run that
 // is done ends the pause. Executors may also be the cause, and most of them; so each is tested
 // by one run, or one gang, at a time, and few attempts are spent on it.
 func overdueCandidates(t *task, candidates, paused []*candidate, now time.Duration) []*candidate {
@@ -99,7 +100,10 @@
 		return suitable
 	}
 	if paused = slices.DeleteFunc(slices.Clone(paused), isExcluded); len(paused) < len(suitable) {
-		return suitable
+		if !t.step.spec.LongRunning {
+			return suitable
+		}
+		paused = slices.DeleteFunc(paused, func(cand *candidate) bool { return !cand.executor.breaker.mayTryLongRunning(now) })
 	}
 	isTested := func(cand *candidate) bool { return cand.executor.testsPause(t.step, now) }
 	return append(suitable, slices.DeleteFunc(paused, isTested)...)
--- a/dispatch/waitmodel_test.go
+++ b/dispatch/waitmodel_test.go
@@ -293,18 +293,66 @@
 	return l
 }
 
+// runSickModel runs lasting tasks that need much room, and other work, while some executors fail all runs,
+// one hangs and one crashes, and then without faults.
+func runSickModel(seed uint64) *waitLoad {
+	l := newWaitLoad(seed)
+	l.submitNext(sized(longRunning(len(l.executors)-1), 5000))
+	l.advance(3 * time.Second)
+	work := func(d time.Duration) {
+		for end := l.now + d; l.now < end; {
+			l.submitNext(sized(tasks(4+l.rng.IntN(8), l.duration(100*time.Millisecond, time.Second)), 500))
+			for e := range l.failing {
+				for _, r := range e.allRuns() {
+					e.end(r, "failed", l.now)
+				}
+			}
+			l.advance(250 * time.Millisecond)
+		}
+	}
+	order := l.rng.Perm(len(l.executors))
+	for _, i := range order[:3] {
+		l.failing[l.executors[i]] = true
+	}
+	l.executors[order[4]].stalled = true
+	work(l.duration(3*time.Second, 5*time.Second))
+	l.executors[order[3]].crash()
+	l.executors[order[3]].listed = false
+	work(l.duration(4*time.Second, 7*time.Second))
+	clear(l.failing)
+	l.executors[order[4]].stalled = false
+	l.checker.calmSince = l.now
+	work(12 * time.Second)
+	l.checker.quiet = l.now
+	l.advance(20 * time.Second)
+	return l
+}
+
 // TestModelAcceptedWorkWaits guards against accepted work that waits although it could run.
 func TestModelAcceptedWorkWaits(t *testing.T) {
 	seeds := []uint64{85, 93, 94} // found faults that the others did not
 	for seed := range uint64(30) {
 		seeds = append(seeds, seed)
 	}
+	testWaits(t, seeds, runWaitModel)
+}
+
+// TestModelSickExecutors guards against lasting tasks that wait for executors that are well again.
+func TestModelSickExecutors(t *testing.T) {
+	var seeds []uint64
+	for seed := range uint64(20) {
+		seeds = append(seeds, seed)
+	}
+	testWaits(t, seeds, runSickModel)
+}
+
+func testWaits(t *testing.T, seeds []uint64, play func(seed uint64) *waitLoad) {
 	var waits atomic.Int64
 	t.Cleanup(func() { t.Logf("%d seeds, %d waits", len(seeds), waits.Load()) })
 	for _, seed := range seeds {
 		t.Run(fmt.Sprintf("seed_%d", seed), func(t *testing.T) {
 			t.Parallel()
-			l := runWaitModel(seed)
+			l := play(seed)
 			waits.Add(int64(l.checker.seen))
 			if len(l.checker.violated) > 0 {
 				name := strings.Fields(l.checker.violated[0])[1]
