--- a/dispatch/breaker_test.go
+++ b/dispatch/breaker_test.go
@@ -88,6 +88,12 @@
 			So(e.runs, ShouldBeEmpty)
 			So(sim.runUntil(2*time.Second, func() bool { return len(e.runs) > 0 }), ShouldBeTrue)
 		})
+		Convey("it gets work at once when it has started again", func() {
+			e.crash()
+			e.start(sim.now, true)
+			So(sim.runUntil(avoidPause/3, func() bool { return len(e.runs) > 5 }), ShouldBeTrue)
+			So(sim.violations, ShouldBeEmpty)
+		})
 	})
 	Convey("Given a paused executor, two that are full, and work that can't be a trial, it runs", t, func() {
 		for _, gang := range []bool{true, false} {
