--- a/dispatch/overdue.go
+++ b/dispatch/overdue.go
@@ -44,8 +44,8 @@
 // has no bound.
 const overdueRunPenalty = 1e7
 
-// pausedPenalty outweighs the other parts of a score, for each failed run in a row on an executor
-// that is paused for them.
+// pausedPenalty outweighs the other parts of a score, for each pause in a row of an executor that
+// is paused.
 const pausedPenalty = 1e9
 
 // leniency says which reasons for refusals do not count for a step.
@@ -117,14 +117,15 @@
 	return false
 }
 
-// pausedCandidates returns the executors that are paused after failed runs.
+// pausedCandidates returns the executors that are paused after failed runs, or wait for a trial.
 func (c *Core) pausedCandidates(now time.Duration) []*candidate {
-	return c.candidatesOf(func(e *executor) bool { return c.isAvailable(e, now) && now < e.pausedUntil })
+	return c.candidatesOf(func(e *executor) bool { return c.isAvailable(e, now) && e.breaker.open })
 }
 
 // overdueCandidates returns the candidates that could run a task. If there are at
 // least as many paused ones, the tasks that failed there are a likelier cause than the executors,
-// and these are returned as well: all work would wait for the end of the pauses. A run that
+// and these are returned as well: all work would wait for the end of the pauses. A long-running task also gets one
+// that has been paused for some time. A run that
 // is done ends the pause. Executors may also be the cause, and most of them; so each is tested
 // by one run, or one gang, at a time, and few attempts are spent on it.
 func overdueCandidates(t *task, candidates, paused []*candidate, now time.Duration) []*candidate {
@@ -136,7 +137,10 @@
 		return suitable
 	}
 	if paused = slices.DeleteFunc(slices.Clone(paused), isExcluded); len(paused) < len(suitable) {
-		return suitable
+		if !t.step.spec.LongRunning {
+			return suitable
+		}
+		paused = slices.DeleteFunc(paused, func(cand *candidate) bool { return !cand.executor.breaker.mayTryLongRunning(now) })
 	}
 	isTested := func(cand *candidate) bool { return cand.executor.testsPause(t.step, now) }
 	return append(suitable, slices.DeleteFunc(paused, isTested)...)
@@ -152,7 +156,7 @@
 // fail. The runs of a gang st do not count for the gang.
 func (e *executor) testsPause(st *step, now time.Duration) bool {
 	for _, r := range e.runs {
-		if r.overdue && now-r.plannedAt < maxRefusedWait && !(st.spec.Gang && r.task.step == st) {
+		if (r.overdue || r.trial) && now-r.plannedAt < maxRefusedWait && !(st.spec.Gang && r.task.step == st) {
 			return true
 		}
 	}
@@ -250,8 +254,8 @@
 	if lenient == allowHarm && others > 0 {
 		return 0, refusedHarm
 	}
-	if now < e.pausedUntil {
-		score -= pausedPenalty * float64(e.failStreak)
+	if e.breaker.open {
+		score -= pausedPenalty * float64(e.breaker.pauses)
 	}
 	score -= e.crashPenalty(t.crashUnit().crash.isSuspect(), now) + overdueRunPenalty*float64(others)
 	if e.info.ID == t.avoidExecutor {
