Count a run for one crash only, also after a change of the owner

Cause: an owner counts a run for at most one crash (task.crashedRun), but did not store that. A run that is blamed when its executor starts again stays recorded if its start has no answer yet, or if the owner has just restored it. The next owner restored it again, and blamed it again if the executor started again or was replaced.

Change: the record of crashes also has the number of the blamed run.

TestOddRecordOfCrashesOrLeasesIsSkipped has two more cases.

--- a/dispatch/oddrestore_test.go
+++ b/dispatch/oddrestore_test.go
@@ -159,6 +159,8 @@
 		"crashes: NaN":                 {Key: crashesKey, Value: encode(crashes{Tasks: []taskCrashes{{Task: task, Crashes: 2, Suspicion: math.NaN()}}})},
 		"crashes: suspicion above 1":   {Key: crashesKey, Value: encode(crashes{Tasks: []taskCrashes{{Task: task, Crashes: 3, Suspicion: 1e300}}})},
 		"crashes: negative age":        {Key: crashesKey, Value: encode(crashes{Tasks: []taskCrashes{{Task: task, Crashes: 1, Suspicion: 0.5, AgeMs: math.MinInt64}}})},
+		"crashes: negative run":        {Key: crashesKey, Value: encode(crashes{Tasks: []taskCrashes{{Task: task, Crashes: 1, Suspicion: 0.5, Run: -1}}})},
+		"crashes: huge run":            {Key: crashesKey, Value: encode(crashes{Tasks: []taskCrashes{{Task: task, Crashes: 1, Suspicion: 0.5, Run: math.MaxInt}}})},
 		"crashes: odd task":            {Key: crashesKey, Value: encode(crashes{Tasks: []taskCrashes{{Task: idA + ".0.-1.0", Crashes: 1, Suspicion: 0.5}}})},
 		"crashes: odd silent crash":    {Key: crashesKey, Value: encode(crashes{Silent: []silentCrash{silent}})},
 		"unreachable: no CBOR":         {Key: unreachableKey, Value: []byte{0xff}},
