Keep finished occurrences of a submission as ranges

Callers saw a cell stop for good after some 22,800 tasks of one submission with maxRuns: everything submitted since was accepted and stayed queued.

Cause: the progress record of a submission named each task of each occurrence that had ended, about 11 bytes a task, until the whole submission ended. The store takes 262,144 bytes a record. The owner also kept these occurrences in memory and went through them for each record.

Change: an occurrence whose tasks are all done is forgotten. The job and its record keep the numbers of finished occurrences as ranges. The record of a submission without finished occurrences has its earlier form, which earlier versions can read during a rolling upgrade; records of the earlier form are read as before. Ranges that are out of range, overlap or touch hold the submission, as other odd records do. The tasks of a record are in order.

--- a/dispatch/fuzz_test.go
+++ b/dispatch/fuzz_test.go
@@ -20,6 +20,8 @@
 	crash := taskCrashes{Task: idA + ".0.0.0", Crashes: -1, Suspicion: math.NaN()}
 	f.Add(crashesKey, encode(crashes{Tasks: []taskCrashes{crash}, Silent: []silentCrash{{Executor: "i-0", Shares: []taskCrashes{crash}}}}),
 		unreachableKey, encode(unreachable{Executors: []unreachableExecutor{{ID: "i-0", LeaseMs: -1}, {ID: "i-1", LeaseMs: math.MaxInt64}}}))
+	f.Add(idA, encode(progress{State: byte(submission.Running), Finished: occurrenceRanges{{End: 1}}}), unreachableKey, []byte{0xff})
+	f.Add(idA, encode(unfinishedProgress{State: byte(submission.Running), Tasks: []taskProgress{{Run: 1, Executor: "i-9"}}}), unreachableKey, []byte{0xff})
 	f.Add(idA, encode(progress{State: byte(submission.Running), Tasks: []taskProgress{{Run: 1, Executor: "i-9"}}}), crashesKey,
 		encode(crashes{Instances: []executorInstance{{Executor: "i-9", StartTimeMs: -1, Address: "i-0"}}}))
 	f.Fuzz(func(t *testing.T, key1 string, value1 []byte, key2 string, value2 []byte) {
--- a/dispatch/oddrestore_test.go
+++ b/dispatch/oddrestore_test.go
@@ -32,6 +32,9 @@
 		change(&tp)
 		return encode(progress{State: byte(submission.Running), Tasks: []taskProgress{good, tp}})
 	}
+	finished := func(ranges ...occurrenceRange) []byte {
+		return encode(progress{State: byte(submission.Running), Tasks: []taskProgress{good}, Finished: ranges})
+	}
 	return map[string][]byte{
 		"no CBOR":                {0xff, 0x00},
 		"another type":           encode("running"),
@@ -49,6 +52,13 @@
 		"a huge run":             with(func(tp *taskProgress) { tp.Run = math.MaxInt }),
 		"negative failures":      with(func(tp *taskProgress) { tp.Failures = -1 }),
 		"a run without a number": with(func(tp *taskProgress) { tp.Index, tp.Run = 1, 0 }),
+
+		"finished occurrences that are no ranges":   encode([]any{submission.Running, []taskProgress{good}, 1}),
+		"a finished occurrence that does not exist": finished(occurrenceRange{First: 1, End: 2}),
+		"a huge finished range":                     finished(occurrenceRange{End: math.MaxInt}),
+		"a negative finished range":                 finished(occurrenceRange{First: -1, End: 1}),
+		"an empty finished range":                   finished(occurrenceRange{}),
+		"the same finished range twice":             finished(occurrenceRange{End: 1}, occurrenceRange{End: 1}),
 	}
 }
 
--- a/dispatch/recordsize_test.go
+++ b/dispatch/recordsize_test.go
@@ -1,9 +1,16 @@
 package dispatch
 
 import (
+	"bytes"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/peridotlock/peridotlock/provider"
+	"github.com/peridotlock/peridotlock/submission"
 )
 
 // TestRecordsStaySmall guards against records that grow with the time for which a submission runs, or
@@ -54,3 +61,144 @@
 		})
 	}
 }
+
+// A submission that recurs goes on after takeovers and faults, and each owner restores what the
+// one before it stored.
+func TestModelRecurringSubmission(t *testing.T) {
+	const seeds, recordBytes, occurrences = 30, 2000, 120
+	for seed := range uint64(seeds) {
+		sim := newSimulation(5, seed)
+		sim.failRate, sim.maxRecordBytes = 0.02, recordBytes // no lost answers: see TestModelLateStartAfterRebirth
+		second := tasks(1, 100*time.Millisecond)
+		second.DependsOn = []int{0}
+		s := newSubmission(tasks(2, 200*time.Millisecond), second)
+		s.Occurrences, s.IntervalMs = occurrences, 250
+		sim.submit(idA, s)
+		faults := 0
+		sim.onFault = func() {
+			if faults++; faults%3 > 0 {
+				return
+			}
+			sim.takeOver()
+			j := sim.core.jobs[idA]
+			if j == nil || j.state.IsFinal() || len(sim.stored[idA].Value) == 0 {
+				return
+			}
+			record, err := j.record()
+			if err != nil || !bytes.Equal(record.Value, sim.stored[idA].Value) {
+				t.Errorf("seed %d: restored %x, %v, stored was %x", seed, record.Value, err, sim.stored[idA].Value)
+			}
+		}
+		checkModel(t, sim, seed)
+	}
+}
+
+// earlierForm returns the record that earlier versions stored of a job, which names each task of
+// finished occurrences.
+func earlierForm(j *job) provider.KeyedRecord {
+	p := unfinishedProgress{State: byte(j.state)}
+	for n := range j.totalOccurrences() {
+		if o := j.occurrences[n]; o != nil {
+			for _, st := range o.steps {
+				for _, t := range st.tasks {
+					p.Tasks = append(p.Tasks, t.progress())
+				}
+			}
+		} else if j.finished.contains(n) {
+			for k, step := range j.sub.Steps {
+				for i := range step.Count {
+					p.Tasks = append(p.Tasks, taskProgress{Occurrence: n, Step: k, Index: i, Done: true, Run: 1})
+				}
+			}
+		}
+	}
+	return provider.KeyedRecord{Key: string(j.id), Value: encode(p)}
+}
+
+// A store holds records of the earlier form after an upgrade.
+func TestEarlierProgressIsRestored(t *testing.T) {
+	sim := newSimulation(3, 1)
+	s := newSubmission(tasks(2, 200*time.Millisecond))
+	s.Occurrences, s.IntervalMs = 40, 150
+	sim.submit(idA, s)
+	sim.run(3 * time.Second)
+	before, err := sim.core.jobs[idA].record()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(sim.core.jobs[idA].finished) == 0 || len(sim.core.jobs[idA].occurrences) == 0 {
+		t.Fatalf("finished %v, %d others, want some of each", sim.core.jobs[idA].finished, len(sim.core.jobs[idA].occurrences))
+	}
+	sim.stored[idA] = earlierForm(sim.core.jobs[idA])
+	sim.takeOver()
+	if after, err := sim.core.jobs[idA].record(); err != nil || !bytes.Equal(after.Value, before.Value) {
+		t.Errorf("restored %x, %v, want %x", after.Value, err, before.Value)
+	}
+	sim.run(20 * time.Second)
+	if sim.publishedStates[idA] != submission.Completed || sim.starts != 80 || len(sim.violations) > 0 {
+		t.Errorf("%v after %d starts, want 80, violations %v", sim.publishedStates[idA], sim.starts, sim.violations)
+	}
+}
+
+func TestOccurrenceRanges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const total = 40
+		var r occurrenceRanges
+		want := map[int]bool{}
+		for range rapid.IntRange(0, 60).Draw(t, "additions") {
+			first := rapid.IntRange(0, total-1).Draw(t, "first")
+			added := occurrenceRange{First: first, End: rapid.IntRange(first+1, min(total, first+5)).Draw(t, "end")}
+			r.addRange(added)
+			for n := added.First; n < added.End; n++ {
+				want[n] = true
+			}
+			if !r.areValid(total) {
+				t.Fatalf("ranges are %v", r)
+			}
+		}
+		for n := range total + 1 {
+			absent := n
+			for want[absent] {
+				absent++
+			}
+			if r.contains(n) != want[n] || r.firstAbsent(n) != absent {
+				t.Fatalf("%v: contains(%d) = %v, firstAbsent = %d, want %v, %d", r, n, r.contains(n), r.firstAbsent(n), want[n], absent)
+			}
+		}
+	})
+}
+
+// BenchmarkProgress stores the progress of a submission whose earlier occurrences have ended,
+// while one of 36 tasks ends.
+func BenchmarkProgress(b *testing.B) {
+	const width = 36
+	for _, ended := range []int{1_000, 30_000, 1_000_000} {
+		b.Run(fmt.Sprintf("ended=%d", ended), func(b *testing.B) {
+			sim := newSimulation(0, 1)
+			s := newSubmission(tasks(width, time.Second))
+			s.Occurrences, s.IntervalMs = 1<<40, 1
+			sim.submit(idA, s)
+			j := sim.core.jobs[idA]
+			end := func(number int) {
+				for _, t := range slices.Clone(j.occurrence(number).steps[0].tasks) {
+					t.runNumber = 1
+					sim.core.markDone(t)
+				}
+			}
+			for i := range ended / width {
+				end(i)
+			}
+			size, next := 0, ended/width
+			for b.Loop() {
+				end(next)
+				next++
+				record, err := j.record()
+				if err != nil {
+					b.Fatal(err)
+				}
+				size = len(record.Value)
+			}
+			b.ReportMetric(float64(size), "record-bytes")
+		})
+	}
+}
