Store crashes in one record a block of tasks and an executor

Callers saw a cell stop for good after the loss of a rack with some 4,500 runs: submissions accepted since stayed queued.

Cause: all suspects, and the shares of all crashes that are not confirmed yet, were in one record, some 66 bytes a lost run. The store takes 262,144 bytes a record.

Change: the histories of 100 tasks of a step are one record, and the shares of an executor's crash another one, which maxRuns bounds; task names are numbers there. The record with the key "crashes" keeps the instances of executors only. Each record is complete without the others: an owner that ends between two appends of a batch leaves the earlier history of some tasks. A record is stored only if it has changed, and deleted once its tasks are no suspects, except while its submission is held. A record of the earlier form is restored, takes precedence over records of the new form beside it, and is replaced with the first batch. Instances and unreachable executors still share one record each: they grow with the executors of a cell, not with its runs (docs/CAPACITY.md).

TestCrashRecordsStoredInPart plays the takeover after each number of records of that batch.

--- a/dispatch/recordsize_test.go
+++ b/dispatch/recordsize_test.go
@@ -3,10 +3,13 @@
 import (
 	"bytes"
 	"fmt"
+	"maps"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"pgregory.net/rapid"
 
 	"github.com/peridotlock/peridotlock/provider"
@@ -168,6 +171,134 @@
 	})
 }
 
+// loseRack loses three of six executors, with the runs of four submissions, and returns once
+// the batch that records this is planned. None of it is stored yet.
+func loseRack(t *testing.T) *simulation {
+	sim := newSimulation(6, 1)
+	for _, e := range sim.executors {
+		e.size.MilliCPU, e.size.MemoryMB = 100_000, 100_000
+	}
+	sim.run(3 * time.Second)
+	for i := range 4 {
+		sim.submit(fmt.Sprintf("%016x", i), newSubmission(tasks(60, 20*time.Second)))
+	}
+	sim.run(5 * time.Second)
+	for _, e := range sim.executors[:3] {
+		e.crash()
+		e.listed = false
+	}
+	sim.storeLatency = 4 * simulationStep
+	if !sim.runUntil(time.Minute, func() bool {
+		return sim.pending != nil && slices.ContainsFunc(sim.pending.Records, func(r provider.KeyedRecord) bool {
+			return strings.HasPrefix(r.Key, silentCrashPrefix) && len(r.Value) > 0
+		})
+	}) {
+		t.Fatal("no crash was recorded")
+	}
+	return sim
+}
+
+// crashKeys returns the stored records of crashes but that of instances.
+func (sim *simulation) crashKeys() map[string][]byte {
+	out := map[string][]byte{}
+	for key, r := range sim.stored {
+		if (strings.HasPrefix(key, crashBlockPrefix) || strings.HasPrefix(key, silentCrashPrefix)) && len(r.Value) > 0 {
+			out[key] = r.Value
+		}
+	}
+	return out
+}
+
+// ownCrashRecords returns the records that an owner would store of the crashes that it knows.
+func (sim *simulation) ownCrashRecords(t *testing.T) map[string][]byte {
+	records, err := sim.core.crashRecords()
+	if err != nil {
+		t.Fatal(err)
+	}
+	delete(records, crashesKey)
+	return records
+}
+
+// An owner may end when any number of the records of a batch are stored.
+func TestCrashRecordsStoredInPart(t *testing.T) {
+	for stored, total := 0, 1; stored <= total; stored++ {
+		sim := loseRack(t)
+		total = len(sim.pending.Records)
+		for _, r := range sim.pending.Records[:stored] {
+			sim.stored[r.Key] = r
+		}
+		sim.takeOver()
+		if stored == total && len(sim.crashKeys()) < 4+3 {
+			t.Errorf("%d records of four submissions and three executors", len(sim.crashKeys()))
+		}
+		if own := sim.ownCrashRecords(t); !maps.EqualFunc(own, sim.crashKeys(), bytes.Equal) && stored == total {
+			t.Errorf("restored %x, want %x", own, sim.crashKeys())
+		}
+		sim.run(unconfirmedCrashKept + 30*time.Second)
+		for id := range sim.accepted {
+			if s := sim.publishedStates[id]; s != submission.Completed {
+				t.Errorf("%d of %d records stored: submission %s is %v at the end", stored, total, id, s)
+			}
+			sim.core.Drop(id)
+		}
+		sim.run(time.Second)
+		if len(sim.violations) > 0 || len(sim.crashKeys()) > 0 {
+			t.Errorf("%d of %d records stored: violations %v, records %v left", stored, total, sim.violations, sim.crashKeys())
+		}
+	}
+}
+
+// earlierCrashes returns the record that earlier versions stored of all crashes.
+func earlierCrashes(c *Core) provider.KeyedRecord {
+	record := c.instances()
+	for t := range c.suspects {
+		record.Tasks = append(record.Tasks, taskCrashes{Task: t.id().String(), Crashes: t.crash.crashes, Suspicion: t.crash.suspicion, AgeMs: t.crash.age.Milliseconds()})
+	}
+	for id, e := range c.executors {
+		if len(e.unconfirmedCrash) == 0 {
+			continue
+		}
+		s := silentCrash{Executor: string(id), Address: e.info.Address, StartTimeMs: e.instance}
+		for _, b := range e.unconfirmedCrash {
+			s.Shares = append(s.Shares, taskCrashes{Task: b.unit.id().String(), Suspicion: b.before, AgeMs: b.age.Milliseconds()})
+		}
+		record.Silent = append(record.Silent, s)
+	}
+	return provider.KeyedRecord{Key: crashesKey, Value: encode(record)}
+}
+
+// A store holds a record of the earlier form after an upgrade, also one beside the records of a
+// later version that ran before.
+func TestEarlierCrashesAreRestored(t *testing.T) {
+	sim := loseRack(t)
+	for _, r := range sim.pending.Records {
+		sim.stored[r.Key] = r
+	}
+	want := sim.ownCrashRecords(t)
+	for key := range sim.crashKeys() {
+		delete(sim.stored, key)
+	}
+	older := crashBlockPrefix + fmt.Sprintf("%016x", 0) + ".0.0.0"
+	if want[older] == nil {
+		t.Fatalf("no record %s of %d", older, len(want))
+	}
+	sim.stored[older] = provider.KeyedRecord{Key: older, Value: encode(crashBlock{{Crashes: 9, Suspicion: 0.9}})}
+	sim.stored[crashesKey] = earlierCrashes(sim.core)
+	sim.takeOver()
+	if own := sim.ownCrashRecords(t); !maps.EqualFunc(own, want, bytes.Equal) {
+		t.Errorf("restored %x, want %x", own, want)
+	}
+	sim.storeLatency = 0
+	sim.run(2 * simulationStep)
+	if stored := sim.crashKeys(); !maps.EqualFunc(stored, want, bytes.Equal) {
+		t.Errorf("stored %x, want %x", stored, want)
+	}
+	var instances crashes
+	if err := cbor.Unmarshal(sim.stored[crashesKey].Value, &instances); err != nil || len(instances.Tasks)+len(instances.Silent) > 0 {
+		t.Errorf("the record of the earlier form was kept: %+v, %v", instances, err)
+	}
+}
+
 // BenchmarkProgress stores the progress of a submission whose earlier occurrences have ended,
 // while one of 36 tasks ends.
 func BenchmarkProgress(b *testing.B) {
