Give turns only where processors are shared, and to whom has waited longest

Cause: all overdue batch work was placed after all other work. Among the overdue, a failed search of those that had waited for over 10 s kept them out for 250 ms, in which younger ones took what came free (with 120 to 200 submissions 11 to 81 had no run in 60 s, the wide step none); a takeover began with the order of rank (60 s without a run at a takeover every 3 s); and each step of a submission had a turn. Change: what is refused for harm, failures or suspects is placed at its rank again. Shared processors are given in turn, with a retry time of their own, counted from the newest start of the submission; a new owner begins with the oldest submission.

--- a/dispatch/overdue.go
+++ b/dispatch/overdue.go
@@ -16,8 +16,8 @@
 // a server may be above its target by its own load, a suspect may run for long, as may the batch work
 // behind which a reservation waits, and there may be no other executor. A submission none
 // of whose tasks runs is therefore overdue after some time. It then gets one run at a time, or
-// one gang, on the executors with room where the least is expected to go wrong. Submissions
-// take turns in the order of their waits: in the order of rank, a backlog whose runs end and are overdue
+// one gang, on the executors with room where the least is expected to go wrong. Processors are
+// shared in the order of waits: in the order of rank, a backlog whose runs end and are overdue
 // again would keep those with the most work waiting without a bound. Long-running
 // tasks are overdue one by one, whether others of their submission run or not. The paces of
 // best-effort runs follow the readings there as everywhere else.
@@ -55,6 +55,7 @@
 	strict          leniency = iota
 	allowHarm                // expected harm, servers above their targets, suspects, and failures
 	allowOvercommit          // these, reservations, and processors that best-effort tasks use
+	leniencies
 )
 
 // leniencyFor returns the leniency for the next task of a step that is refused all candidates.
@@ -102,6 +103,18 @@
 	return "not overdue"
 }
 
+// leniencyAtRank returns the leniency for the next task of a step in the order of rank. Batch work
+// shares processors only in turn.
+func (c *Core) leniencyAtRank(st *step, candidates []*candidate, now time.Duration) leniency {
+	if st.spec.LongRunning {
+		return c.leniencyFor(st, candidates, now)
+	}
+	if now < st.nextOverdueAt[allowHarm] {
+		return strict
+	}
+	return min(allowHarm, c.leniencyFor(st, candidates, now))
+}
+
 // hasCurrentRuns reports whether a run of the job was planned or known to exist recently. Others are
 // on executors that don't answer, and may have ended long before their leases do.
 func (j *job) hasCurrentRuns(now time.Duration) bool {
@@ -163,35 +176,47 @@
 	return false
 }
 
-// placeOverdue places overdue batch work, that which has waited longest first.
-func (c *Core) placeOverdue(b *Batch, candidates []*candidate, now time.Duration) {
-	var overdue []*step
+// turnSince returns the time since when a step has waited for its turn: since the newest start of its
+// submission, or since it was refused all executors.
+func (st *step) turnSince() time.Duration { return max(st.unplacedSince, st.job.newestStartAt) }
+
+// placeInTurn lets overdue batch work share processors while most of the capacity is free, that
+// which has waited longest first. A new owner begins with the oldest submission.
+func (c *Core) placeInTurn(b *Batch, candidates []*candidate, now time.Duration) {
+	var turns []*step
 	for _, st := range c.waiting {
-		if !st.spec.LongRunning && !st.job.handingOver && len(st.waiting) > 0 && now >= st.nextOverdueAt && st.hasOverdueWait(now) {
-			overdue = append(overdue, st)
+		if !st.spec.LongRunning && !st.job.handingOver && len(st.waiting) > 0 && st.unplacedSince > 0 &&
+			now-st.unplacedSince >= maxRefusedWait && now >= st.nextOverdueAt[allowOvercommit] {
+			turns = append(turns, st)
 		}
 	}
-	slices.SortStableFunc(overdue, func(x, y *step) int { return cmp.Compare(x.unplacedSince, y.unplacedSince) })
-	for _, st := range overdue {
-		lenient := c.leniencyFor(st, candidates, now)
+	slices.SortStableFunc(turns, func(x, y *step) int {
+		return cmp.Or(cmp.Compare(x.turnSince(), y.turnSince()), cmp.Compare(x.job.sub.AcceptedMs, y.job.sub.AcceptedMs))
+	})
+	full := map[string]bool{} // services
+	for _, st := range turns {
+		service := st.job.sub.Service
+		if !full[service] {
+			full[service] = !c.isMostlyFree(service, candidates)
+		}
 		switch {
-		case lenient == strict:
+		case full[service] || !st.hasOverdueWait(now):
 		case st.spec.Gang:
-			c.placeGang(b, st, candidates, lenient, now)
+			c.placeGang(b, st, candidates, allowOvercommit, now)
 		default:
-			c.placeOneOverdue(b, st, candidates, lenient, now)
+			c.placeOneOverdue(b, st, candidates, now)
 		}
 	}
 }
 
 // placeOneOverdue places the first waiting task of a step that is not a stray, if it can.
-func (c *Core) placeOneOverdue(b *Batch, st *step, candidates []*candidate, lenient leniency, now time.Duration) {
+func (c *Core) placeOneOverdue(b *Batch, st *step, candidates []*candidate, now time.Duration) {
 	i := slices.IndexFunc(st.waiting, func(t *task) bool { return !t.isStray() })
 	if i < 0 {
 		return
 	}
 	t := st.waiting[i]
-	cand := c.chooseOverdue(t, candidates, lenient, now)
+	cand := c.chooseOverdue(t, candidates, allowOvercommit, now)
 	if cand == nil {
 		return
 	}
@@ -203,7 +228,7 @@
 
 // chooseOverdue returns the candidate for a task of an overdue submission, or nil.
 func (c *Core) chooseOverdue(t *task, candidates []*candidate, lenient leniency, now time.Duration) *candidate {
-	if lenient == strict || t.isStray() {
+	if lenient == strict || t.isStray() || now < t.step.nextOverdueAt[lenient] {
 		return nil
 	}
 	var best *candidate
@@ -218,7 +243,7 @@
 		}
 	}
 	if best == nil {
-		t.step.nextOverdueAt = now + overdueRetryDelay
+		t.step.nextOverdueAt[lenient] = now + overdueRetryDelay
 	}
 	return best
 }
