--- a/dispatch/crashload_test.go
+++ b/dispatch/crashload_test.go
@@ -330,6 +330,7 @@
 // TestCrashesOfManyExecutors guards against blame that delays work no one should suspect:
 // 30 % of 40 or 12 executors at their usual load crash together at 5, 10, 16 and 22 s, for 0.6 s.
 func TestCrashesOfManyExecutors(t *testing.T) {
+	t.Parallel()
 	testCrashLoad(t, func(l *crashLoad, sameID bool) {
 		for _, at := range []time.Duration{5, 10, 16, 22} {
 			l.at(at*time.Second, func() { l.crashTogether(l.share(crashedShare), 600*time.Millisecond, sameID) })
@@ -341,6 +342,7 @@
 // against tasks that run twice after it: 30 % of 40 or 12 executors at their usual load are cut
 // off at 5, 11, 17 and 24 s, crash and start again, and are reachable after 1 to 2.5 s.
 func TestRestartsBehindPartition(t *testing.T) {
+	t.Parallel()
 	testCrashLoad(t, func(l *crashLoad, sameID bool) {
 		for _, cut := range []struct{ at, length time.Duration }{{5, 1500}, {11, 1500}, {17, 2500}, {24, 1000}} {
 			l.at(cut.at*time.Second, func() { l.restartBehindCut(l.share(crashedShare), cut.length*time.Millisecond, sameID) })
--- a/dispatch/tworuns_test.go
+++ b/dispatch/tworuns_test.go
@@ -11,6 +11,7 @@
 // are cut off, crash and start again under their IDs behind the cut, and new instances
 // accept starts before their first report. The owner may have noticed nothing until then.
 func TestTwoRunsAfterRestart(t *testing.T) {
+	t.Parallel()
 	const never = time.Hour
 	ms := time.Millisecond
 	cases := 0
@@ -82,6 +83,7 @@
 // TestModelRestarts simulates random faults with executors that restart under their IDs
 // within moments, heartbeats that hang, and calls that reach an executor after a cut.
 func TestModelRestarts(t *testing.T) {
+	t.Parallel()
 	const seeds = 150
 	steps, restarts := 0, 0
 	for seed := range uint64(seeds) {
