--- /dev/null
+++ b/review/cases-2/cases.go
@@ -0,0 +1,261 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+var scenarios = map[string]scenario{
+	"gang": {prepare: fleetOf(8, 16000), play: playGang},
+	"kind": {prepare: fleetOf(8, 16000), play: playKind},
+	"wide": {prepare: fleetOf(20, 64000), play: playWide},
+	"flap": {prepare: fleetOf(20, 16000), play: playFlap},
+}
+
+// fleetOf returns a preparation with a configuration and a number of executors, two a rack.
+func fleetOf(n int, milli int64) func(w *world) error {
+	return func(w *world) error {
+		w.publishConfig(3)
+		for i := range n {
+			kind := "a"
+			if i%2 == 1 {
+				kind = "b"
+			}
+			if _, err := w.newExecutor(fmt.Sprintf("%08x", hash(fmt.Sprint("machine ", i))), fmt.Sprintf("r1-%d", i/2), kind, milli, 64000); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+}
+
+// until polls a condition.
+func until(limit time.Duration, cond func() bool) bool {
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		if cond() {
+			return true
+		}
+	}
+	return false
+}
+
+const (
+	crashDown    = 4500 * time.Millisecond
+	stableWindow = 4 * time.Second
+)
+
+// playGang hands a gang in that checkpoints its progress, and crashes the executor of one of its
+// tasks while it works.
+func playGang(w *world, trouble bool) {
+	calmSince := time.Now()
+	var working time.Duration
+	w.mu.Lock()
+	w.onEnd = func(r *run, how string) {
+		calm := r.began.Sub(calmSince)
+		if how == "alone" && !calmSince.IsZero() && calm > stableWindow {
+			w.breach("GANG: run %d of %s ended alone; it began %.1f s after the last disturbance had ended", r.number, r.task, calm.Seconds())
+		}
+	}
+	w.mu.Unlock()
+	s := w.submit(step{Count: 4, CPU: 9000, MemMB: 2000, EstimateMs: 12000, Checkpointable: true, Gang: true})
+	until(10*time.Second, func() bool {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		for _, e := range w.executors {
+			for _, r := range e.runs {
+				if !r.works.IsZero() {
+					working = time.Since(r.works)
+					return working > 2*checkpointEvery+200*time.Millisecond
+				}
+			}
+		}
+		return false
+	})
+	if trouble {
+		w.mu.Lock()
+		for _, e := range w.executors {
+			if len(e.runs) > 0 {
+				calmSince = time.Time{}
+				e.crash()
+				go func() {
+					time.Sleep(crashDown)
+					w.mu.Lock()
+					defer w.mu.Unlock()
+					e.start(e.id+"b", e.kind)
+					calmSince = time.Now()
+				}()
+				break
+			}
+		}
+		w.mu.Unlock()
+	}
+	until(60*time.Second, func() bool { return w.state(s) == "completed" })
+}
+
+// playKind keeps work for executors of kind a coming, and lets one crash and come back with the
+// other kind.
+func playKind(w *world, trouble bool) {
+	w.mu.Lock()
+	w.onStart = func(e *executor, r *run) {
+		if r.step.Requires != "" && r.step.Requires != e.kind {
+			w.breach("ROUTE: run %d of %s requires %s and started on %s of kind %s, %.0f ms after its life began",
+				r.number, r.task, r.step.Requires, e.id, e.kind, float64(time.Since(e.born).Microseconds())/1000)
+		}
+	}
+	w.mu.Unlock()
+	stop := time.Now().Add(60 * time.Second)
+	go func() {
+		for i := 0; time.Now().Before(stop); i++ {
+			go w.submit(step{Count: 4, CPU: 2000, MemMB: 500, EstimateMs: 1300, Requires: []string{"a", "b"}[i%2]})
+			time.Sleep(80*time.Millisecond + rand.N(40*time.Millisecond))
+		}
+	}()
+	time.Sleep(4 * time.Second)
+	for i := 0; time.Now().Before(stop.Add(-8 * time.Second)); i++ {
+		if trouble {
+			w.mu.Lock()
+			e := w.executors[i%len(w.executors)]
+			e.crash()
+			w.mu.Unlock()
+			time.Sleep(2 * time.Second)
+			w.mu.Lock()
+			other := map[string]string{"a": "b", "b": "a"}
+			e.start(e.id, other[e.kind])
+			w.mu.Unlock()
+		}
+		time.Sleep(4*time.Second + rand.N(time.Second))
+	}
+	time.Sleep(time.Until(stop))
+}
+
+const (
+	flapPeriod = 1400 * time.Millisecond
+	flapFor    = 6500 * time.Millisecond
+	flapShare  = 10 // percent of the executors
+)
+
+// playFlap lets a tenth of the executors go down and up by turns while the fleet is busy.
+func playFlap(w *world, trouble bool) {
+	const traffic = 80 * time.Second
+	var handed []*submission
+	var mu sync.Mutex
+	stop := time.Now().Add(traffic)
+	go func() {
+		for time.Now().Before(stop) {
+			go func() {
+				s := w.submit(step{Count: 8, CPU: 1800, MemMB: 3200, EstimateMs: 2200})
+				mu.Lock()
+				defer mu.Unlock()
+				handed = append(handed, s)
+			}()
+			time.Sleep(100*time.Millisecond + rand.N(40*time.Millisecond))
+		}
+	}()
+	time.Sleep(5 * time.Second)
+	for i := 0; trouble && time.Now().Before(stop.Add(-12*time.Second)); i++ {
+		n := len(w.executors) * flapShare / 100
+		flap(w, w.executors[i*n%len(w.executors):][:n])
+		time.Sleep(4 * time.Second)
+	}
+	time.Sleep(time.Until(stop.Add(14 * time.Second)))
+	mu.Lock()
+	defer mu.Unlock()
+	for _, s := range handed {
+		if !s.accepted {
+			continue
+		}
+		state := w.state(s)
+		w.mu.Lock()
+		if state == "failed" && !s.failedEnd {
+			w.breach("LOST: %s is shown as failed; none of its runs has ended failed", s.ID)
+		}
+		w.mu.Unlock()
+	}
+}
+
+// flap lets executors go down and up by turns for flapFor.
+func flap(w *world, executors []*executor) {
+	for end := time.Now().Add(flapFor); time.Now().Before(end); {
+		w.mu.Lock()
+		for _, e := range executors {
+			e.crash()
+		}
+		w.mu.Unlock()
+		time.Sleep(flapPeriod / 2)
+		w.mu.Lock()
+		for _, e := range executors {
+			e.lives++
+			e.start(fmt.Sprintf("i-%s-%d", e.machine, e.lives), e.kind)
+		}
+		w.mu.Unlock()
+		time.Sleep(flapPeriod / 2)
+	}
+}
+
+// playWide hands in one submission of many small tasks beside a light load.
+func playWide(w *world, trouble bool) {
+	const tasks = 8000
+	light := step{Count: 4, CPU: 1800, MemMB: 1000, EstimateMs: 1000}
+	for range 5 {
+		w.submit(light)
+	}
+	if trouble {
+		w.submit(step{Count: tasks, CPU: 60, MemMB: 60, EstimateMs: 20000, Checkpointable: true})
+	}
+	var handed []*submission
+	for range 30 {
+		time.Sleep(time.Second)
+		handed = append(handed, w.submit(light))
+	}
+	time.Sleep(finish)
+	for _, s := range handed {
+		if !s.accepted {
+			continue
+		}
+		if state := w.state(s); state == "completed" {
+			continue
+		}
+		time.Sleep(3 * time.Second)
+		w.mu.Lock()
+		if runs, used := w.runsOf(s), w.usedShare(); runs == 0 && used < 0.5 {
+			w.breach("LOST: %s is not completed and nothing of it runs, %v after its acceptance; %.0f percent of the capacity is in use", s.ID, time.Since(s.acceptAt).Round(time.Second), 100*used)
+		}
+		w.mu.Unlock()
+		if time.Since(w.began) > 110*time.Second {
+			break
+		}
+	}
+}
+
+const finish = 14 * time.Second
+
+// runsOf returns the number of runs of a submission. The caller holds the lock.
+func (w *world) runsOf(s *submission) int {
+	n := 0
+	for _, e := range w.executors {
+		for _, r := range e.runs {
+			if r.sub == s {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// usedShare returns the larger of the used shares of processors and memory. The caller holds
+// the lock.
+func (w *world) usedShare() float64 {
+	var milli, mem, usedMilli, usedMem int64
+	for _, e := range w.executors {
+		if !e.up {
+			continue
+		}
+		milli, mem = milli+e.milli, mem+e.memMB
+		for _, r := range e.runs {
+			usedMilli, usedMem = usedMilli+r.step.CPU, usedMem+r.step.MemMB
+		}
+	}
+	return max(float64(usedMilli)/float64(max(1, milli)), float64(usedMem)/float64(max(1, mem)))
+}
