--- a/review/cases-2/cases.go
+++ b/review/cases-2/cases.go
@@ -8,10 +8,11 @@
 )
 
 var scenarios = map[string]scenario{
-	"gang": {prepare: fleetOf(8, 16000), play: playGang},
-	"kind": {prepare: fleetOf(8, 16000), play: playKind},
-	"wide": {prepare: fleetOf(20, 64000), play: playWide},
-	"flap": {prepare: fleetOf(20, 16000), play: playFlap},
+	"gang":    {prepare: fleetOf(8, 16000), play: playGang},
+	"kind":    {prepare: fleetOf(8, 16000), play: playKind},
+	"wide":    {prepare: directFleet(66, 16000), play: playWide},
+	"mix":     {prepare: fleetOf(84, 9000), play: playMix},
+	"crashes": {prepare: fleetOf(66, 16000), play: playCrashes},
 }
 
 // fleetOf returns a preparation with a configuration and a number of executors, two a rack.
@@ -31,6 +32,14 @@
 	}
 }
 
+// directFleet is fleetOf without relays, for many connections.
+func directFleet(n int, milli int64) func(w *world) error {
+	return func(w *world) error {
+		w.direct = true
+		return fleetOf(n, milli)(w)
+	}
+}
+
 // until polls a condition.
 func until(limit time.Duration, cond func() bool) bool {
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
@@ -131,35 +140,37 @@
 }
 
 const (
-	flapPeriod = 1400 * time.Millisecond
-	flapFor    = 6500 * time.Millisecond
-	flapShare  = 10 // percent of the executors
+	crashes      = 36 // at most 40 entries in a day
+	crashGap     = time.Second
+	crashFor     = 500 * time.Millisecond
+	crashPercent = 14 // of the executors
 )
 
-// playFlap lets a tenth of the executors go down and up by turns while the fleet is busy.
-func playFlap(w *world, trouble bool) {
-	const traffic = 80 * time.Second
+// playCrashes lets executors crash, a few each second, and come back soon.
+func playCrashes(w *world, trouble bool) {
+	const traffic = crashes*crashGap + 10*time.Second
 	var handed []*submission
 	var mu sync.Mutex
 	stop := time.Now().Add(traffic)
-	go func() {
+	load := func(gap time.Duration, steps ...step) {
 		for time.Now().Before(stop) {
 			go func() {
-				s := w.submit(step{Count: 8, CPU: 1800, MemMB: 3200, EstimateMs: 2200})
+				s := w.submit(steps...)
 				mu.Lock()
 				defer mu.Unlock()
 				handed = append(handed, s)
 			}()
-			time.Sleep(100*time.Millisecond + rand.N(40*time.Millisecond))
+			time.Sleep(gap/2 + rand.N(gap))
 		}
-	}()
+	}
+	go load(140*time.Millisecond, step{Count: 6, CPU: 1400, MemMB: 2800, EstimateMs: 640})
+	go load(100*time.Millisecond, step{Count: 8, CPU: 1800, MemMB: 3200, EstimateMs: 2200})
 	time.Sleep(5 * time.Second)
-	for i := 0; trouble && time.Now().Before(stop.Add(-12*time.Second)); i++ {
-		n := len(w.executors) * flapShare / 100
-		flap(w, w.executors[i*n%len(w.executors):][:n])
-		time.Sleep(4 * time.Second)
+	for i := 0; trouble && i < crashes; i++ {
+		go w.crashSome(len(w.executors) * crashPercent / 100)
+		time.Sleep(crashGap)
 	}
-	time.Sleep(time.Until(stop.Add(14 * time.Second)))
+	time.Sleep(time.Until(stop.Add(finish)))
 	mu.Lock()
 	defer mu.Unlock()
 	for _, s := range handed {
@@ -175,56 +186,68 @@
 	}
 }
 
-// flap lets executors go down and up by turns for flapFor.
-func flap(w *world, executors []*executor) {
-	for end := time.Now().Add(flapFor); time.Now().Before(end); {
-		w.mu.Lock()
-		for _, e := range executors {
+// crashSome crashes a number of executors for crashFor. They come back under other IDs.
+func (w *world) crashSome(n int) {
+	var down []*executor
+	w.mu.Lock()
+	for _, i := range rand.Perm(len(w.executors)) {
+		if e := w.executors[i]; e.up && len(down) < n {
 			e.crash()
+			down = append(down, e)
 		}
-		w.mu.Unlock()
-		time.Sleep(flapPeriod / 2)
-		w.mu.Lock()
-		for _, e := range executors {
-			e.lives++
-			e.start(fmt.Sprintf("i-%s-%d", e.machine, e.lives), e.kind)
-		}
-		w.mu.Unlock()
-		time.Sleep(flapPeriod / 2)
+	}
+	w.mu.Unlock()
+	time.Sleep(crashFor)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, e := range down {
+		e.lives++
+		e.start(fmt.Sprintf("i-%s-%d", e.machine, e.lives), e.kind)
 	}
 }
 
 // playWide hands in one submission of many small tasks beside a light load.
 func playWide(w *world, trouble bool) {
-	const tasks = 8000
+	const (
+		tasks   = 8000
+		traffic = 24
+	)
 	light := step{Count: 4, CPU: 1800, MemMB: 1000, EstimateMs: 1000}
-	for range 5 {
-		w.submit(light)
-	}
 	if trouble {
-		w.submit(step{Count: tasks, CPU: 60, MemMB: 60, EstimateMs: 20000, Checkpointable: true})
+		w.submit(step{Count: tasks, CPU: 60, MemMB: 60, EstimateMs: 12000, Checkpointable: true})
 	}
 	var handed []*submission
-	for range 30 {
-		time.Sleep(time.Second)
+	for range traffic {
 		handed = append(handed, w.submit(light))
+		time.Sleep(time.Second)
 	}
 	time.Sleep(finish)
+	w.checkLost(handed)
+}
+
+// checkLost asks for the states of submissions and checks for 3 s that those that are not completed
+// have something running, or that the fleet is half full.
+func (w *world) checkLost(handed []*submission) {
+	var open []*submission
 	for _, s := range handed {
-		if !s.accepted {
-			continue
-		}
-		if state := w.state(s); state == "completed" {
-			continue
+		if s.accepted && w.state(s) != "completed" {
+			open = append(open, s)
 		}
-		time.Sleep(3 * time.Second)
+	}
+	ran, most := map[*submission]bool{}, 0.0
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
 		w.mu.Lock()
-		if runs, used := w.runsOf(s), w.usedShare(); runs == 0 && used < 0.5 {
-			w.breach("LOST: %s is not completed and nothing of it runs, %v after its acceptance; %.0f percent of the capacity is in use", s.ID, time.Since(s.acceptAt).Round(time.Second), 100*used)
+		most = max(most, w.usedShare())
+		for _, s := range open {
+			ran[s] = ran[s] || w.runsOf(s) > 0
 		}
 		w.mu.Unlock()
-		if time.Since(w.began) > 110*time.Second {
-			break
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, s := range open {
+		if !ran[s] && most < 0.5 {
+			w.breach("LOST: %s, accepted %.0f s ago, has nothing running for 3 s while at most %.0f percent of the capacity is in use", s.ID, time.Since(s.acceptAt).Seconds(), 100*most)
 		}
 	}
 }
--- a/review/cases-2/executor.go
+++ b/review/cases-2/executor.go
@@ -1,10 +1,13 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strconv"
 	"strings"
@@ -35,7 +38,8 @@
 	kind    string
 	milli   int64
 	memMB   int64
-	relay   *faultnet.Relay
+	addr    string
+	relay   *faultnet.Relay // nil in a world without relays
 	server  *http.Server
 
 	lives   int // that began after a crash
@@ -63,6 +67,8 @@
 
 type end struct {
 	number     int
+	at         time.Time
+	lapsed     bool // the lease has lapsed since
 	task       string
 	run        int
 	how, saved string
@@ -76,8 +82,12 @@
 	}
 	e.server = &http.Server{Handler: e}
 	go e.server.Serve(l) // ends with close
-	if e.relay, err = faultnet.New(l.Addr().String()); err != nil {
-		return nil, err
+	e.addr = l.Addr().String()
+	if !w.direct {
+		if e.relay, err = faultnet.New(e.addr); err != nil {
+			return nil, err
+		}
+		e.addr = e.relay.Addr()
 	}
 	e.begin()
 	w.executors = append(w.executors, e)
@@ -117,13 +127,14 @@
 func (e *executor) entry() string {
 	return fmt.Sprintf(`{"backend":%q,"address":%q,"zone":"zone-a","version":"v1","slots":8,"state":"ready","coldRemainingMs":0,`+
 		`"capacity":{"cpu":%d,"memMb":%d,"gpu":0},"labels":[%q,%q],"born":%d,"seq":%d}`,
-		serviceName, e.relay.Addr(), e.milli, e.memMB, e.kind, e.rack, e.born.UnixMilli(), time.Since(e.born).Milliseconds())
+		serviceName, e.addr, e.milli, e.memMB, e.kind, e.rack, e.born.UnixMilli(), time.Since(e.born).Milliseconds())
 }
 
-// register writes the entry at the start of each life and then every executorHeartbeat. It is
-// removed after three heartbeats of silence.
+// register writes the entry every executorHeartbeat, in a new life for the first time at a random
+// moment of the first one, or at once if w.entersAtOnce is set. It is removed after three heartbeats
+// of silence.
 func (e *executor) register() {
-	var life, written time.Time
+	var life, written, first time.Time
 	listed := ""
 	for {
 		e.w.mu.Lock()
@@ -134,9 +145,15 @@
 			e.w.store.Put("servers", listed, "")
 			listed = ""
 		}
-		if up && (born != life || now.Sub(written) >= executorHeartbeat) {
+		if up && born != life {
+			life, first = born, born.Add(rand.N(executorHeartbeat))
+			if e.w.entersAtOnce {
+				first = now
+			}
+		}
+		if up && !now.Before(first) && (written.Before(life) || now.Sub(written) >= executorHeartbeat) {
 			e.w.store.Put("servers", id, entry)
-			life, written, listed = born, now, id
+			written, listed = now, id
 		}
 		time.Sleep(pollInterval)
 	}
@@ -167,6 +184,29 @@
 	if !e.up {
 		panic(http.ErrAbortHandler)
 	}
+	if rand.Float64() < e.w.lateShare && !strings.HasSuffix(r.URL.Path, "hold") {
+		e.carryOutLate(r, body)
+		panic(http.ErrAbortHandler)
+	}
+	e.serve(w, r, body)
+}
+
+// carryOutLate carries an order out 2 to 12 s later, if the life that received it still goes on.
+func (e *executor) carryOutLate(r *http.Request, body orderBody) {
+	born, late := e.born, r.Clone(context.Background())
+	e.w.record("order gets no answer", e, body.Task, body.Run, r.URL.Path)
+	time.AfterFunc(2*time.Second+rand.N(10*time.Second), func() {
+		e.w.mu.Lock()
+		defer e.w.mu.Unlock()
+		if e.up && e.born == born {
+			e.w.record("order carried out late", e, body.Task, body.Run, r.URL.Path)
+			e.serve(httptest.NewRecorder(), late, body)
+		}
+	})
+}
+
+// serve carries an order out. The caller holds the lock.
+func (e *executor) serve(w http.ResponseWriter, r *http.Request, body orderBody) {
 	if want := r.Header.Get("Expect-Instance"); want != "" && want != e.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -257,7 +297,12 @@
 
 func (e *executor) hold(w http.ResponseWriter, o orderBody) {
 	e.extendLease(o.DeadlineMs)
-	e.acked = max(e.acked, min(o.LastSeen, len(e.ended)))
+	for i := e.acked; i < min(o.LastSeen, len(e.ended)); i++ {
+		e.acked = i + 1
+		if e.w.onAck != nil && !e.ended[i].lapsed {
+			e.w.onAck(e, e.ended[i])
+		}
+	}
 	born := e.born
 	until := time.Now().Add(min(maxHoldWait, time.Duration(o.WaitMs)*time.Millisecond))
 	for len(e.ended) == e.acked && time.Now().Before(until) {
@@ -273,6 +318,9 @@
 		percent := 0
 		if !r.works.IsZero() {
 			percent = int(min(100, 100*r.progress()/r.work()))
+			if r.step.LongRunning {
+				percent = 100
+			}
 		}
 		running = append(running, []any{r.task, r.number, r.saved(), percent, r.step.CPU})
 	}
@@ -288,6 +336,9 @@
 		return
 	}
 	lapsed := e.clock() > e.leaseMs
+	for i := e.acked; lapsed && i < len(e.ended); i++ {
+		e.ended[i].lapsed = true
+	}
 	for _, r := range e.runs {
 		switch {
 		case lapsed:
@@ -300,7 +351,7 @@
 			if now.Sub(r.began) >= gangWait {
 				e.endRun(r, "alone")
 			}
-		case r.progress() >= r.work():
+		case !r.step.LongRunning && r.progress() >= r.work():
 			e.endRun(r, "done")
 		}
 	}
@@ -313,7 +364,7 @@
 	}
 	delete(e.runs, r.task)
 	e.highest[r.task] = max(e.highest[r.task], r.number)
-	x := end{number: len(e.ended) + 1, task: r.task, run: r.number, how: how, saved: r.saved()}
+	x := end{number: len(e.ended) + 1, at: time.Now(), task: r.task, run: r.number, how: how, saved: r.saved()}
 	e.ended = append(e.ended, x)
 	e.w.record("end "+how, e, r.task, r.number, "saved "+strconv.Quote(x.saved))
 	e.w.noteEnd(r, how)
--- a/review/cases-2/main.go
+++ b/review/cases-2/main.go
@@ -19,6 +19,7 @@
 const (
 	vmCount      = 3
 	readyTimeout = 20 * time.Second
+	timeLimit    = 115 * time.Second
 )
 
 // scenario plays one case. Without trouble it does the same without the disruption.
@@ -64,8 +65,10 @@
 	case code := <-done:
 		return code
 	case <-stop:
-		return notRun
+	case <-time.After(timeLimit):
+		fmt.Fprintln(os.Stderr, "not ended after", timeLimit)
 	}
+	return notRun
 }
 
 func (w *world) playCase(sc scenario, root string) int {
--- a/review/cases-2/world.go
+++ b/review/cases-2/world.go
@@ -6,6 +6,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"hash/fnv"
 	"io"
@@ -36,15 +37,17 @@
 	ID    string `json:"-"`
 	Spec  string `json:"spec"`
 	Steps []step `json:"steps"`
+	// Of a submission with times.
+	MaxRuns        int   `json:"maxRuns,omitempty"`
+	InitialDelayMs int64 `json:"initialDelayMs,omitempty"`
+	IntervalMs     int64 `json:"intervalMs,omitempty"`
 
-	queue     string
-	attempts  int // to hand it in
-	accepted  bool
-	acceptAt  time.Time
-	seen      []string // states, each once in a row
-	cancelled bool
-	failedEnd bool // a run of it has ended failed
-	doneTasks map[string]bool
+	accepted    bool
+	acceptAt    time.Time
+	cancelledAt time.Time // when its cancel was acknowledged
+	seen        []string  // states, each once in a row
+	failedEnd   bool      // a run of it has ended failed
+	doneTasks   map[string]bool
 }
 
 type step struct {
@@ -55,6 +58,10 @@
 	Checkpointable bool   `json:"checkpointable,omitempty"`
 	Gang           bool   `json:"gang,omitempty"`
 	Requires       string `json:"requires,omitempty"`
+	DependsOn      []int  `json:"dependsOn,omitempty"`
+	LongRunning    bool   `json:"longRunning,omitempty"`
+	DataRack       string `json:"affinity,omitempty"`
+	MaxPerExecutor int    `json:"antiAffinity,omitempty"`
 }
 
 func (s *step) work() time.Duration { return time.Duration(s.EstimateMs) * time.Millisecond }
@@ -70,10 +77,16 @@
 	vms       []*vm
 	subs      map[string]*submission
 	breaks    []string
+	refused   int // appends for their size
 	onStart   func(e *executor, r *run)
 	onEnd     func(r *run, how string)
-	dir       string
-	client    *http.Client
+	onAck     func(e *executor, x end)
+	direct    bool // executors are reached without relays
+	// entersAtOnce is set if executors write their entry as soon as they start.
+	entersAtOnce bool
+	lateShare    float64 // of the starts and stops that get no answer and are carried out late
+	dir          string
+	client       *http.Client
 }
 
 func newWorld(out io.Writer) (*world, error) {
@@ -83,7 +96,8 @@
 		return nil, err
 	}
 	w.storeAddr = l.Addr().String()
-	go http.Serve(l, w.store) // ends with the process
+	go http.Serve(l, http.HandlerFunc(w.serveStore)) // ends with the process
+	w.entersAtOnce = os.Getenv("ENTERS_AT_ONCE") != ""
 	if w.dir, err = os.MkdirTemp("", "case"); err != nil {
 		return nil, err
 	}
@@ -91,6 +105,31 @@
 	return w, nil
 }
 
+// serveStore counts and records the calls to the store that it refuses for good.
+func (w *world) serveStore(rw http.ResponseWriter, r *http.Request) {
+	recorder := &statusRecorder{ResponseWriter: rw}
+	w.store.ServeHTTP(recorder, r)
+	if recorder.status == http.StatusRequestEntityTooLarge {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.refused++
+		if w.refused&(w.refused-1) == 0 {
+			w.record(fmt.Sprintf("append of %d bytes to %s refused, %d times so far", r.ContentLength, r.URL.Query().Get("topic"), w.refused), nil, "", 0, "")
+		}
+	}
+}
+
+type statusRecorder struct {
+	http.ResponseWriter
+	status int
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (s *statusRecorder) WriteHeader(status int) {
+	s.status = status
+	s.ResponseWriter.WriteHeader(status)
+}
+
 // advance lets time pass for the executors.
 func (w *world) advance() {
 	for {
@@ -182,17 +221,28 @@
 
 // vm is one machine of the system: a process of the deploy file's command.
 type vm struct {
-	front, ready string
-	process      *exec.Cmd
+	name, front, ready string
+	root, file         string
+	process            *exec.Cmd
 }
 
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+// Ports of machines are below those that systems take for outgoing connections.
+const firstPort, lastPort = 15000, 31000
+
+// freeAddresses returns free addresses, which differ.
+func freeAddresses(n int) ([]string, error) {
+	var out []string
+	for range 1000 {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort)))
+		if err != nil {
+			continue // taken
+		}
+		defer l.Close()
+		if out = append(out, l.Addr().String()); len(out) == n {
+			return out, nil
+		}
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return nil, errors.New("no free ports")
 }
 
 const settings = `name: "%s"
@@ -215,33 +265,39 @@
 
 // startVM starts a machine with settings like those that the platform fills in.
 func (w *world) startVM(root, name, zone string) error {
-	var a [5]string
-	for i := range a {
-		var err error
-		if a[i], err = freeAddress(); err != nil {
-			return err
-		}
+	a, err := freeAddresses(5)
+	if err != nil {
+		return err
 	}
 	file := filepath.Join(w.dir, name+".yaml")
 	text := fmt.Sprintf(settings, name, zone, a[0], a[1], a[2], a[3], a[4], w.storeAddr, partitions, graceS)
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		return err
 	}
-	log, err := os.Create(filepath.Join(w.dir, name+".log"))
+	v := &vm{name: name, front: a[0], ready: a[1], root: root, file: file}
+	w.vms = append(w.vms, v)
+	return v.start()
+}
+
+// start starts the process of the machine.
+func (v *vm) start() error {
+	log, err := os.OpenFile(strings.TrimSuffix(v.file, ".yaml")+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
 	defer log.Close()
-	v := &vm{front: a[0], ready: a[1], process: exec.Command(filepath.Join(root, "target", "peridotlock"))}
-	v.process.Dir = root
-	v.process.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C", "PERIDOTLOCK_CONFIG=" + file}
+	v.process = exec.Command(filepath.Join(v.root, "target", "peridotlock"))
+	v.process.Dir = v.root
+	v.process.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C", "PERIDOTLOCK_CONFIG=" + v.file}
 	v.process.Stdout, v.process.Stderr = log, log
 	v.process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := v.process.Start(); err != nil {
-		return err
-	}
-	w.vms = append(w.vms, v)
-	return nil
+	return v.process.Start()
+}
+
+// end sends the process a signal that ends it and waits for that.
+func (v *vm) end(s syscall.Signal) {
+	v.process.Process.Signal(s)
+	v.process.Wait() // its exit code is not judged here
 }
 
 // close ends all processes that were started and removes their files.
@@ -300,7 +356,14 @@
 
 // submit hands a submission in, with the retries of a caller.
 func (w *world) submit(steps ...step) *submission {
-	s := &submission{ID: fmt.Sprintf("%016x", rand.Uint64()), Spec: "work", Steps: steps, doneTasks: map[string]bool{}}
+	s := &submission{Steps: steps}
+	w.handIn(s)
+	return s
+}
+
+func (w *world) handIn(s *submission) {
+	s.ID, s.doneTasks = fmt.Sprintf("%016x", rand.Uint64()), map[string]bool{}
+	s.Spec = "work of " + s.ID
 	body, err := json.Marshal(s)
 	if err != nil {
 		panic(err) // the types can be encoded
@@ -315,11 +378,25 @@
 			w.mu.Lock()
 			s.accepted, s.acceptAt = true, time.Now()
 			w.mu.Unlock()
-			return s
+			return
+		}
+		time.Sleep(300 * time.Millisecond)
+	}
+}
+
+// cancel cancels a submission, with retries.
+func (w *world) cancel(s *submission) {
+	for range 10 {
+		status, _ := w.call(http.MethodDelete, "http://"+w.anyVM().front+"/q/"+s.ID, nil)
+		w.note("sent DELETE %s, answered %d", s.ID, status)
+		if status/100 == 2 || status == http.StatusGone {
+			w.mu.Lock()
+			s.cancelledAt = time.Now()
+			w.mu.Unlock()
+			return
 		}
 		time.Sleep(300 * time.Millisecond)
 	}
-	return s
 }
 
 // state asks for the state of a submission.
