--- a/review/cases-2/cases.go
+++ b/review/cases-2/cases.go
@@ -3,16 +3,13 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"sync"
 	"time"
 )
 
 var scenarios = map[string]scenario{
-	"gang":    {prepare: fleetOf(8, 16000), play: playGang},
 	"kind":    {prepare: fleetOf(8, 16000), play: playKind},
 	"wide":    {prepare: directFleet(66, 16000), play: playWide},
 	"mix":     {prepare: fleetOf(84, 9000), play: playMix},
-	"crashes": {prepare: fleetOf(66, 16000), play: playCrashes},
 }
 
 // fleetOf returns a preparation with a configuration and a number of executors, two a rack.
@@ -50,59 +47,6 @@
 	return false
 }
 
-const (
-	crashDown    = 4500 * time.Millisecond
-	stableWindow = 4 * time.Second
-)
-
-// playGang hands a gang in that checkpoints its progress, and crashes the executor of one of its
-// tasks while it works.
-func playGang(w *world, trouble bool) {
-	calmSince := time.Now()
-	var working time.Duration
-	w.mu.Lock()
-	w.onEnd = func(r *run, how string) {
-		calm := r.began.Sub(calmSince)
-		if how == "alone" && !calmSince.IsZero() && calm > stableWindow {
-			w.breach("GANG: run %d of %s ended alone; it began %.1f s after the last disturbance had ended", r.number, r.task, calm.Seconds())
-		}
-	}
-	w.mu.Unlock()
-	s := w.submit(step{Count: 4, CPU: 9000, MemMB: 2000, EstimateMs: 12000, Checkpointable: true, Gang: true})
-	until(10*time.Second, func() bool {
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		for _, e := range w.executors {
-			for _, r := range e.runs {
-				if !r.works.IsZero() {
-					working = time.Since(r.works)
-					return working > 2*checkpointEvery+200*time.Millisecond
-				}
-			}
-		}
-		return false
-	})
-	if trouble {
-		w.mu.Lock()
-		for _, e := range w.executors {
-			if len(e.runs) > 0 {
-				calmSince = time.Time{}
-				e.crash()
-				go func() {
-					time.Sleep(crashDown)
-					w.mu.Lock()
-					defer w.mu.Unlock()
-					e.start(e.id+"b", e.kind)
-					calmSince = time.Now()
-				}()
-				break
-			}
-		}
-		w.mu.Unlock()
-	}
-	until(60*time.Second, func() bool { return w.state(s) == "completed" })
-}
-
 // playKind keeps work for executors of kind a coming, and lets one crash and come back with the
 // other kind.
 func playKind(w *world, trouble bool) {
@@ -139,73 +83,6 @@
 	time.Sleep(time.Until(stop))
 }
 
-const (
-	crashes      = 36 // at most 40 entries in a day
-	crashGap     = time.Second
-	crashFor     = 500 * time.Millisecond
-	crashPercent = 14 // of the executors
-)
-
-// playCrashes lets executors crash, a few each second, and come back soon.
-func playCrashes(w *world, trouble bool) {
-	const traffic = crashes*crashGap + 10*time.Second
-	var handed []*submission
-	var mu sync.Mutex
-	stop := time.Now().Add(traffic)
-	load := func(gap time.Duration, steps ...step) {
-		for time.Now().Before(stop) {
-			go func() {
-				s := w.submit(steps...)
-				mu.Lock()
-				defer mu.Unlock()
-				handed = append(handed, s)
-			}()
-			time.Sleep(gap/2 + rand.N(gap))
-		}
-	}
-	go load(140*time.Millisecond, step{Count: 6, CPU: 1400, MemMB: 2800, EstimateMs: 640})
-	go load(100*time.Millisecond, step{Count: 8, CPU: 1800, MemMB: 3200, EstimateMs: 2200})
-	time.Sleep(5 * time.Second)
-	for i := 0; trouble && i < crashes; i++ {
-		go w.crashSome(len(w.executors) * crashPercent / 100)
-		time.Sleep(crashGap)
-	}
-	time.Sleep(time.Until(stop.Add(finish)))
-	mu.Lock()
-	defer mu.Unlock()
-	for _, s := range handed {
-		if !s.accepted {
-			continue
-		}
-		state := w.state(s)
-		w.mu.Lock()
-		if state == "failed" && !s.failedEnd {
-			w.breach("LOST: %s is shown as failed; none of its runs has ended failed", s.ID)
-		}
-		w.mu.Unlock()
-	}
-}
-
-// crashSome crashes a number of executors for crashFor. They come back under other IDs.
-func (w *world) crashSome(n int) {
-	var down []*executor
-	w.mu.Lock()
-	for _, i := range rand.Perm(len(w.executors)) {
-		if e := w.executors[i]; e.up && len(down) < n {
-			e.crash()
-			down = append(down, e)
-		}
-	}
-	w.mu.Unlock()
-	time.Sleep(crashFor)
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	for _, e := range down {
-		e.lives++
-		e.start(fmt.Sprintf("i-%s-%d", e.machine, e.lives), e.kind)
-	}
-}
-
 // playWide hands in one submission of many small tasks beside a light load.
 func playWide(w *world, trouble bool) {
 	const (
