--- a/review/cases-2/cases.go
+++ b/review/cases-2/cases.go
@@ -7,9 +7,9 @@
 )
 
 var scenarios = map[string]scenario{
-	"kind":    {prepare: fleetOf(8, 16000), play: playKind},
-	"wide":    {prepare: directFleet(66, 16000), play: playWide},
-	"mix":     {prepare: fleetOf(84, 9000), play: playMix},
+	"kind": {prepare: fleetOf(8, 16000), play: playKind},
+	"wide": {prepare: directFleet(66, 16000), play: playWide},
+	"mix":  {prepare: fleetOf(84, 9000), play: playMix},
 }
 
 // fleetOf returns a preparation with a configuration and a number of executors, two a rack.
@@ -37,16 +37,6 @@
 	}
 }
 
-// until polls a condition.
-func until(limit time.Duration, cond func() bool) bool {
-	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
-		if cond() {
-			return true
-		}
-	}
-	return false
-}
-
 // playKind keeps work for executors of kind a coming, and lets one crash and come back with the
 // other kind.
 func playKind(w *world, trouble bool) {
--- a/review/cases-2/executor.go
+++ b/review/cases-2/executor.go
@@ -42,7 +42,6 @@
 	relay   *faultnet.Relay // nil in a world without relays
 	server  *http.Server
 
-	lives   int // that began after a crash
 	up      bool
 	born    time.Time
 	fence   int64
