Store the progress of wide submissions in blocks

Cause: the progress of a submission was one record of all its tasks, 37 bytes each with checkpoints, 295 kB here. The store refuses records above recordBytes (262,144), and an owner sends no order before its batch is stored.

TestRecordsStaySmall, a wide submission, fails on: 2,041 bytes with a store of 2,000, running at the end.

Change: progress above 3/4 of recordBytes, read from the settings, goes into blocks of 16 tasks and a list of them; only blocks with a change are stored. The order of the records keeps a successor right at any point of a batch; a missing block holds its submission.

Checks: in simulations the end of one task of a gang counts for all, as PROTOCOL says, and a new owner publishes the states that it restored, as the node does.

--- a/dispatch/fuzz_test.go
+++ b/dispatch/fuzz_test.go
@@ -27,6 +27,10 @@
 	f.Add(crashBlockPrefix+idA+".0.0.0", encode(crashBlock{{Offset: 1, Crashes: 5, Suspicion: 0.9}, {Offset: 200}}),
 		silentCrashPrefix+"i-0", encode(executorCrash{Address: "i-1", Submissions: []string{idA}, Shares: []crashShare{{Index: 1, Suspicion: 0.1, AgeMs: 1}, {Submission: 1}}}))
 	f.Add(crashBlockPrefix+idA+".0.0.9223372036854775807", encode(crashBlock{{Crashes: 1}}), silentCrashPrefix, encode(executorCrash{}))
+	list := encode(splitProgress{State: byte(submission.Running), Finished: occurrenceRanges{}, Blocks: []blockRange{{End: 1}}})
+	f.Add(idA, list, idA+"/0.0", encode([]taskProgress{{Run: 1, Executor: "i-0"}, {Run: 1, Executor: "i-0"}, {Index: 1, Run: -1}}))
+	f.Add(idA, list, idA+"/0.00", encode([]taskProgress{{Done: true}}))
+	f.Add(idA+"/9223372036854775807.1", []byte{0x80}, idA, encode(splitProgress{Blocks: []blockRange{{Group: math.MaxInt, First: 1, End: 2}}}))
 	f.Fuzz(func(t *testing.T, key1 string, value1 []byte, key2 string, value2 []byte) {
 		sim := newSimulation(2, 1)
 		sim.oddRecords = true
--- a/dispatch/recordsize_test.go
+++ b/dispatch/recordsize_test.go
@@ -16,9 +16,9 @@
 	"github.com/peridotlock/peridotlock/submission"
 )
 
-// TestRecordsStaySmall guards against records that grow with the time for which a submission runs, or
-// with the number of runs that are lost at once, until the store refuses them and the cell starts
-// nothing any more. The store takes records of a few hundred tasks here.
+// TestRecordsStaySmall guards against records that grow with the time for which a submission runs, with
+// the number of its tasks, or with the number of runs that are lost at once, until the store refuses them
+// and the cell starts nothing any more. The store takes records of a few hundred tasks here.
 func TestRecordsStaySmall(t *testing.T) {
 	for _, c := range []struct {
 		name        string
@@ -31,6 +31,12 @@
 			sim.submit(idA, s)
 			sim.run(40 * time.Second)
 		}},
+		{name: "a wide submission", recordBytes: 2000, play: func(sim *simulation) {
+			sim.submit(idA, newSubmission(tasks(400, 2*time.Second)))
+			sim.run(3 * time.Second)
+			sim.submit(idB, newSubmission(tasks(2, time.Second)))
+			sim.run(30 * time.Second)
+		}},
 		{name: "a rack that is lost with all its runs", recordBytes: 4000, play: func(sim *simulation) {
 			for _, e := range sim.executors {
 				e.size.MilliCPU, e.size.MemoryMB = 100_000, 100_000
@@ -51,7 +57,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			sim := newSimulation(6, 1)
-			sim.maxRecordBytes = c.recordBytes
+			sim.limitRecords(c.recordBytes)
 			c.play(sim)
 			for id := range sim.accepted {
 				if s := sim.publishedStates[id]; !s.IsFinal() {
@@ -343,3 +349,62 @@
 		})
 	}
 }
+
+// BenchmarkWideProgress stores the progress of a submission with many running tasks, with checkpoints of 16
+// bytes, while one of them ends.
+func BenchmarkWideProgress(b *testing.B) {
+	for _, width := range []int{1, 100, 1_000, 10_000} {
+		b.Run(fmt.Sprintf("running=%d", width), func(b *testing.B) {
+			core := runningTasks(width)
+			j := core.jobs[idA]
+			if _, err := core.progressRecords(j); err != nil {
+				b.Fatal(err)
+			}
+			bytes, rounds := 0, 0
+			for b.Loop() {
+				j.occurrences[0].steps[0].tasks[rounds%width].failures++
+				records, err := core.progressRecords(j)
+				if err != nil {
+					b.Fatal(err)
+				}
+				for _, r := range records {
+					bytes += r.Size()
+				}
+				rounds++
+			}
+			b.ReportMetric(float64(bytes)/float64(rounds), "bytes/change")
+		})
+	}
+}
+
+// BenchmarkWideTakeover restores the progress of a submission with many running tasks.
+func BenchmarkWideTakeover(b *testing.B) {
+	for _, width := range []int{100, 1_000, 10_000} {
+		b.Run(fmt.Sprintf("running=%d", width), func(b *testing.B) {
+			core := runningTasks(width)
+			records, err := core.progressRecords(core.jobs[idA])
+			if err != nil {
+				b.Fatal(err)
+			}
+			for b.Loop() {
+				successor := New(Options{})
+				successor.Submit(idA, core.jobs[idA].sub, 0)
+				if unreadable := successor.Restore(records, 0); len(unreadable) > 0 {
+					b.Fatal(unreadable)
+				}
+			}
+			b.ReportMetric(float64(len(records)), "records")
+		})
+	}
+}
+
+// runningTasks returns a core with one submission, of which width tasks run on 100 executors.
+func runningTasks(width int) *Core {
+	core := New(Options{})
+	core.Submit(idA, newSubmission(tasks(width, time.Second)), 0)
+	for i, t := range core.jobs[idA].occurrence(0).steps[0].tasks {
+		executor := core.executor(provider.ExecutorID(fmt.Sprintf("i-%08x", i%100)), 0)
+		t.runNumber, t.checkpoint, t.run = 1, "00000bb87a21d94b", &run{executor: executor}
+	}
+	return core
+}
