--- a/dispatch/overdue.go
+++ b/dispatch/overdue.go
@@ -185,7 +185,7 @@
 func (c *Core) placeInTurn(b *Batch, candidates []*candidate, now time.Duration) {
 	var turns []*step
 	for _, st := range c.waiting {
-		if !st.spec.LongRunning && !st.job.handingOver && len(st.waiting) > 0 && st.unplacedSince > 0 &&
+		if !st.spec.LongRunning && st.job.acceptsStarts() && len(st.waiting) > 0 && st.unplacedSince > 0 &&
 			now-st.unplacedSince >= maxRefusedWait && now >= st.nextOverdueAt[allowOvercommit] {
 			turns = append(turns, st)
 		}
--- a/dispatch/trial.go
+++ b/dispatch/trial.go
@@ -80,7 +80,7 @@
 	var out []*task
 	for _, st := range c.waiting {
 		spec := st.spec
-		if spec.LongRunning || spec.Gang || st.job.handingOver {
+		if spec.LongRunning || spec.Gang || !st.job.acceptsStarts() {
 			continue
 		}
 		if i := slices.IndexFunc(st.waiting, (*task).mayBeTrial); i >= 0 {
