--- a/soak/crash_test.go
+++ b/soak/crash_test.go
@@ -77,7 +77,7 @@
 	es := httptest.NewServer(e)
 	t.Cleanup(es.Close)
 	s.store.Put("servers", "i-0", e.RegistryEntry("s", strings.TrimPrefix(es.URL, "http://"), "d"))
-	s.vm = newVM(t, binary, t.TempDir(), "vm-0", strings.TrimPrefix(server.URL, "http://"))
+	s.vm = newVM(t, binary, t.TempDir(), "vm-0", strings.TrimPrefix(server.URL, "http://"), 0)
 	t.Cleanup(s.vm.close)
 	So(s.eventually(func() bool { return len(s.lines("msg=owner ")) == 1 }), ShouldBeTrue)
 	return s
