Store no later record of a submission after a rejected one

Change: after a rejected record the writer stores no later one of its subject in the same batch, and reports these as rejected too. Blocks are assigned with sums that are made once a batch, not once a task.

Evidence: TestLaterRecordsOfRejectedSubjectAreNotStored failed before (a/2 and a/3 were stored after a).

--- a/dispatch/progressrecord.go
+++ b/dispatch/progressrecord.go
@@ -15,8 +15,8 @@
 )
 
 // The progress of a submission is stored under its ID, as one record if the store takes it. Otherwise it
-// is stored in parts: a record for each block of tasks, and under the ID a record that lists the blocks. A block has all that is stored of its tasks, so that only blocks with a change
-// are stored again.
+// is stored in parts: a record for each block of tasks, and under the ID a record that lists the blocks. A
+// block has all that is stored of its tasks, so that only blocks with a change are stored again.
 //
 // An owner may end when only some records of a batch are stored. Blocks go before the record that
 // lists them. A block that no longer has a task, since its occurrence or the submission has ended, goes
@@ -73,7 +73,8 @@
 	defaultMaxRecordBytes = 262_144
 	// progressBlockTasks is the number of tasks in a block.
 	progressBlockTasks = 16
-	// blockSeparator stands between the ID of a submission and the name of a block in keys.
+	// blockSeparator stands between the ID of a submission and the name of a block in keys; see
+	// provider.KeyedRecord.Subject.
 	blockSeparator = "/"
 )
 
@@ -165,25 +166,23 @@
 	return false
 }
 
-// occurrenceTasks returns the number of tasks of an occurrence.
-func (j *job) occurrenceTasks() int {
-	n := 0
+// firstTasks returns the position of each step's first task in an occurrence, and the number of all its
+// tasks.
+func (j *job) firstTasks() (first []int, total int) {
+	first = make([]int, len(j.sub.Steps))
 	for i := range j.sub.Steps {
-		n += j.sub.Steps[i].Count
+		first[i] = total
+		total += j.sub.Steps[i].Count
 	}
-	return n
+	return first, total
 }
 
-// blockOf returns the block of a task.
-func (j *job) blockOf(t taskProgress) blockID {
-	if tasks := j.occurrenceTasks(); tasks <= progressBlockTasks {
-		return blockID{Group: t.Occurrence / max(1, progressBlockTasks/max(1, tasks))}
+// blockOf returns the block of a task, given the result of firstTasks.
+func blockOf(t taskProgress, firstTasks []int, total int) blockID {
+	if total <= progressBlockTasks {
+		return blockID{Group: t.Occurrence / (progressBlockTasks / total)}
 	}
-	position := t.Index
-	for i := range t.Step {
-		position += j.sub.Steps[i].Count
-	}
-	return blockID{Group: t.Occurrence, Part: position / progressBlockTasks}
+	return blockID{Group: t.Occurrence, Part: (firstTasks[t.Step] + t.Index) / progressBlockTasks}
 }
 
 // progress returns what is to be stored of a job.
@@ -245,18 +244,19 @@
 // splitRecords returns the records of progress in blocks that differ from what is stored.
 func (c *Core) splitRecords(j *job, p progress) ([]provider.KeyedRecord, error) {
 	blocks := map[blockID][]taskProgress{}
+	firstTasks, total := j.firstTasks()
 	for _, t := range p.Tasks {
 		if len(t.Checkpoint) > c.maxCheckpointBytes() {
 			t.Checkpoint = ""
 		}
-		b := j.blockOf(t)
+		b := blockOf(t, firstTasks, total)
 		blocks[b] = append(blocks[b], t)
 	}
 	ids := slices.SortedFunc(maps.Keys(blocks), blockID.compare)
 	if j.stored.blocks == nil {
 		j.stored.blocks = map[blockID][]taskProgress{}
 	}
-	var before, after []provider.KeyedRecord // the list of the blocks
+	var before, after []provider.KeyedRecord // of the list
 	for _, b := range ids {
 		stored := j.stored.blocks[b]
 		if slices.Equal(stored, blocks[b]) {
--- a/dispatch/rejection.go
+++ b/dispatch/rejection.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"fmt"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/peridotlock/peridotlock/provider"
@@ -69,8 +68,10 @@
 	return false
 }
 
-// Reject applies that the store has rejected some records of a batch and stored the others. It is called
-// before Commit, which then neither starts runs whose records were rejected nor acknowledges ends.
+// Reject applies that the store has rejected some records of a batch and stored the others, but for later ones of
+// the same subjects, which are passed as rejected as well: a block that lacks tasks must not be stored without the
+// list that goes before it. Reject is called before Commit, which then neither starts runs whose records were
+// rejected nor acknowledges ends.
 func (c *Core) Reject(b *Batch, rejected []provider.KeyedRecord, now time.Duration) {
 	if len(rejected) == 0 {
 		return
@@ -82,8 +83,7 @@
 			b.hasUnreachable = false
 		}
 		delete(c.recordedCrashes, r.Key)
-		id, _, _ := strings.Cut(r.Key, blockSeparator)
-		if j, ok := c.jobs[submission.ID(id)]; ok && !jobs[j] {
+		if j, ok := c.jobs[submission.ID(r.Subject())]; ok && !jobs[j] {
 			jobs[j] = true
 			c.rejectProgress(j, r, now)
 		}
--- a/node/rejection_test.go
+++ b/node/rejection_test.go
@@ -110,6 +110,31 @@
 	}
 }
 
+// A record that lacks tasks must not be stored if the one before it, which says why, is rejected.
+func TestLaterRecordsOfRejectedSubjectAreNotStored(t *testing.T) {
+	fake := standin.NewStore(1)
+	fake.MaxRecordBytes = 20
+	server := httptest.NewServer(fake)
+	defer server.Close()
+	store := platform.NewStore(strings.TrimPrefix(server.URL, "http://"), groupName, "vm-1", metrics.NewSet())
+	w := newWriter(&Node{store: store, log: logr.Discard()}, progressPartition(0), 0, 1)
+	value, large := []byte("v"), make([]byte, 100)
+	records := []provider.KeyedRecord{{Key: "a/1", Value: value}, {Key: "a", Value: large}, {Key: "b", Value: value}, {Key: "a/2", Value: value}, {Key: "a/3"}, {Key: "b/1", Value: value}}
+	rejected, err := w.storeAll(context.Background(), records)
+	var keys []string
+	for _, r := range rejected {
+		keys = append(keys, r.Key)
+	}
+	batch, readErr := store.ReadKeyed(context.Background(), progressPartition(0), 0, 0)
+	var stored []string
+	for _, r := range batch.Records {
+		stored = append(stored, r.Key)
+	}
+	if err != nil || readErr != nil || !slices.Equal(keys, []string{"a", "a/2", "a/3"}) || !slices.Equal(stored, []string{"a/1", rejectedKey, "b", "b/1"}) {
+		t.Errorf("rejected %v, %v, stored %v, %v", keys, err, stored, readErr)
+	}
+}
+
 // A store that rejects all appends, or that has used up the sequence number of a rejected one, ends the term: the owner
 // can't know what is stored.
 func TestTermEndsIfRejectionsCannotBeDivided(t *testing.T) {
