Check gangs that checkpoint in plays with replaced owners

The ends of gangs move from the model of crashes into the simulation.

Not in it yet: owners that wake after a freeze, and that both kinds of play agree beyond the promises.

No change of logic.

--- a/dispatch/crashmixed_test.go
+++ b/dispatch/crashmixed_test.go
@@ -249,7 +249,7 @@
 }
 
 func (m *mixedModel) step() {
-	m.advanceGangs()
+	m.sim.advanceGangs(m.gangs)
 	for _, e := range m.sim.executors {
 		e.crashAt = 0
 		for name, r := range e.runs {
@@ -261,26 +261,26 @@
 	m.crashLoad.step()
 }
 
-// advanceGangs ends the runs of gangs that are not complete.
-func (m *mixedModel) advanceGangs() {
+// advanceGangs ends the runs of gangs, by the name of their step, that are not complete.
+func (sim *simulation) advanceGangs(gangs map[string]*mixedGang) {
 	type member struct {
 		executor *fakeExecutor
 		run      *fakeRun
 	}
 	members := map[string][]member{}
-	for _, e := range m.sim.executors {
+	for _, e := range sim.executors {
 		if !e.up {
 			continue
 		}
 		for _, r := range e.allRuns() {
-			if step := r.task[:strings.LastIndex(r.task, ".")+1]; m.gangs[step] != nil {
+			if step := r.task[:strings.LastIndex(r.task, ".")+1]; gangs[step] != nil {
 				members[step] = append(members[step], member{e, r})
 			}
 		}
 	}
-	now := m.sim.now
+	now := sim.now
 	for step, running := range members {
-		g := m.gangs[step]
+		g := gangs[step]
 		number := running[0].run.number
 		for _, r := range running {
 			number = max(number, r.run.number)
--- a/dispatch/successor_test.go
+++ b/dispatch/successor_test.go
@@ -30,8 +30,9 @@
 // successorPlay is one play of a drawn load with drawn faults, the same for both kinds of play.
 type successorPlay struct {
 	sim       *simulation
-	rng       *rand.Rand // of load and faults; never drawn from by owners
-	takeovers *rand.Rand // nil for one owner throughout
+	rng       *rand.Rand            // of load and faults; never drawn from by owners
+	takeovers *rand.Rand            // nil for one owner throughout
+	gangs     map[string]*mixedGang // by name of the step
 	gaps      map[string]time.Duration
 	lastRun   map[string]time.Duration
 }
@@ -40,8 +41,8 @@
 	sim := newSimulation(3*domainExecutors, seed)
 	sim.inheritedLease = maxLease + 1700*time.Millisecond // as package node sets it
 	sim.core.options.InheritedLease = sim.inheritedLease
-	sim.partialBatches = true
-	p := &successorPlay{sim: sim, rng: rand.New(rand.NewPCG(seed, 5)), gaps: map[string]time.Duration{}, lastRun: map[string]time.Duration{}}
+	sim.partialBatches, sim.gangCheckpoints = true, map[string]string{}
+	p := &successorPlay{sim: sim, gangs: map[string]*mixedGang{}, rng: rand.New(rand.NewPCG(seed, 5)), gaps: map[string]time.Duration{}, lastRun: map[string]time.Duration{}}
 	if withTakeovers {
 		p.takeovers = rand.New(rand.NewPCG(seed, 6))
 	}
@@ -52,6 +53,13 @@
 	for i := range 4 {
 		sim.submit(fmt.Sprintf("f%015x", i), newSubmission(longRunning(3)))
 	}
+	for i := range 4 {
+		gang := tasks(4, 8*time.Second)
+		gang.Gang, gang.Checkpointable = true, true
+		id := fmt.Sprintf("e%015x", i)
+		sim.submit(id, newSubmission(gang))
+		p.gangs[id+".0.0."] = &mixedGang{size: gang.Count, length: gang.Estimate()}
+	}
 	for n := 0; sim.now < successorTime; n++ {
 		p.submit(n)
 		p.fault()
@@ -125,6 +133,7 @@
 // run advances the play, and notes for how long each long-running task has not run.
 func (p *successorPlay) run(d time.Duration) {
 	for end := p.sim.now + d; p.sim.now < end; {
+		p.sim.advanceGangs(p.gangs)
 		p.sim.run(simulationStep)
 		for i := range 4 {
 			for k := range 3 {
@@ -140,10 +149,14 @@
 	}
 }
 
+// isGang reports whether a submission is one of the gangs, which have checks of their own.
+func (p *successorPlay) isGang(id submission.ID) bool { return p.gangs[string(id)+".0.0."] != nil }
+
+// givenUp returns the submissions that have failed, although no task fails or crashes executors.
 func (p *successorPlay) givenUp() []submission.ID {
 	var out []submission.ID
 	for id, s := range p.sim.publishedStates {
-		if s == submission.Failed {
+		if s == submission.Failed && !p.isGang(id) {
 			out = append(out, id)
 		}
 	}
@@ -151,8 +164,20 @@
 	return out
 }
 
-func (p *successorPlay) violationsAbout(text string, about bool) []string {
-	return slices.DeleteFunc(slices.Clone(p.sim.violations), func(v string) bool { return strings.Contains(v, text) != about })
+// Texts of violations that have a check of their own.
+const (
+	aboutLabels     = "which requires"
+	aboutCheckpoint = "of the gang starts with checkpoint"
+)
+
+func (p *successorPlay) violationsAbout(text string) []string {
+	return slices.DeleteFunc(slices.Clone(p.sim.violations), func(v string) bool { return !strings.Contains(v, text) })
+}
+
+func (p *successorPlay) otherViolations() []string {
+	return slices.DeleteFunc(slices.Clone(p.sim.violations), func(v string) bool {
+		return strings.Contains(v, aboutLabels) || strings.Contains(v, aboutCheckpoint)
+	})
 }
 
 // successorChecks return the first promise that a play has broken, or "".
@@ -160,8 +185,17 @@
 	name  string
 	check func(p *successorPlay) string
 }{
-	{"tasks-run-once", func(p *successorPlay) string { return first(p.violationsAbout("which requires", false)) }},
-	{"labels", func(p *successorPlay) string { return first(p.violationsAbout("which requires", true)) }},
+	{"tasks-run-once", func(p *successorPlay) string { return first(p.otherViolations()) }},
+	{"labels", func(p *successorPlay) string { return first(p.violationsAbout(aboutLabels)) }},
+	{"gangs-have-one-checkpoint", func(p *successorPlay) string { return first(p.violationsAbout(aboutCheckpoint)) }},
+	{"gangs-end", func(p *successorPlay) string {
+		for _, step := range slices.Sorted(maps.Keys(p.gangs)) {
+			if id := submission.ID(step[:submission.IDLength]); p.sim.publishedStates[id] != submission.Completed {
+				return fmt.Sprintf("%s is %v at the end", id, p.sim.publishedStates[id])
+			}
+		}
+		return ""
+	}},
 	{"sound-work-is-not-given-up", func(p *successorPlay) string {
 		if ids := p.givenUp(); len(ids) > 0 {
 			return fmt.Sprintf("%v failed", ids)
@@ -178,7 +212,7 @@
 	}},
 	{"work-ends", func(p *successorPlay) string {
 		for _, id := range slices.Sorted(maps.Keys(p.sim.accepted)) {
-			if state := p.sim.publishedStates[id]; !p.sim.accepted[id].Steps[0].LongRunning && !state.IsFinal() {
+			if state := p.sim.publishedStates[id]; !p.sim.accepted[id].Steps[0].LongRunning && !p.isGang(id) && !state.IsFinal() {
 				return fmt.Sprintf("%s is %v at the end", id, state)
 			}
 		}
