--- /dev/null
+++ b/node/tenants_test.go
@@ -0,0 +1,87 @@
+package node
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/peridotlock/peridotlock/platform/standin"
+)
+
+// tenantsConfig returns a version of configV1 in which queue q needs a key of a tenant.
+func tenantsConfig(version int, tenants string) string {
+	return strings.Replace(configV1, `"version":1`, fmt.Sprintf(`"version":%d,"tenants":[%s]`, version, tenants), 1)
+}
+
+// callWithKey is call with an API key, on a connection of a given client.
+func (v *vm) callWithKey(client *http.Client, method, path, key, body string) int {
+	req, err := http.NewRequest(method, "http://"+v.callers+path, strings.NewReader(body))
+	if err != nil {
+		return 0
+	}
+	req.Host = "h.example"
+	req.Header.Set("X-Api-Key", key)
+	reply, err := client.Do(req)
+	if err != nil {
+		return 0
+	}
+	defer reply.Body.Close()
+	io.Copy(io.Discard, reply.Body)
+	return reply.StatusCode
+}
+
+func TestKeysOfTenants(t *testing.T) {
+	Convey("Given two VMs and a submission of a tenant", t, func() {
+		c := newStore(t, 1)
+		c.addExecutor("i-0", "r1", 0)
+		c.store.Put("op", "config", tenantsConfig(2, `{"name":"a","apiKeys":["k1"]},{"name":"b","apiKeys":["other"]}`))
+		a, b := c.start("vm-0"), c.start("vm-1")
+		So(eventually(func() bool { return a.ready() && b.ready() }), ShouldBeTrue)
+		client := &http.Client{Transport: &http.Transport{MaxConnsPerHost: 1}}
+		defer client.CloseIdleConnections()
+		So(eventually(func() bool {
+			return a.callWithKey(client, "POST", "/q/"+id1, "k1", longRunningSubmission) == 200
+		}), ShouldBeTrue)
+		So(eventually(func() bool { return c.running() == 4 }), ShouldBeTrue)
+		all := func(key string, status int) func() bool {
+			return func() bool {
+				for _, v := range c.vms {
+					if v.callWithKey(client, "GET", "/q/"+id1, key, "") != status {
+						return false
+					}
+				}
+				return true
+			}
+		}
+		So(eventually(all("k1", 200)), ShouldBeTrue)
+		So(eventually(all("other", http.StatusGone)), ShouldBeTrue)
+		So(all("", http.StatusUnauthorized)(), ShouldBeTrue)
+
+		Convey("a key that is replaced stops on open connections, and the new one is known", func() {
+			c.store.Put("op", "config", tenantsConfig(3, `{"name":"a","apiKeys":["k2"]},{"name":"a","apiKeys":["k1"]}`))
+			So(eventually(all("k2", 200)), ShouldBeTrue)
+			So(all("k1", http.StatusUnauthorized)(), ShouldBeTrue)
+			So(a.callWithKey(client, "DELETE", "/q/"+id1, "k1", ""), ShouldEqual, http.StatusUnauthorized)
+			So(c.running(), ShouldEqual, 4)
+		})
+		Convey("the work of a tenant that is removed goes on, and its keys are refused", func() {
+			c.store.Put("op", "config", tenantsConfig(3, `{"name":"b","apiKeys":["other"]}`))
+			So(eventually(all("k1", http.StatusUnauthorized)), ShouldBeTrue)
+			So(all("other", http.StatusGone)(), ShouldBeTrue)
+			time.Sleep(300 * time.Millisecond)
+			So(c.running(), ShouldEqual, 4)
+		})
+		Convey("VMs whose configuration is too old refuse known and unknown keys alike, as unavailable", func() {
+			c.store.SetFaults(standin.Faults{Unavailable: true})
+			So(eventually(all("k1", http.StatusServiceUnavailable)), ShouldBeTrue)
+			So(all("unknown", http.StatusServiceUnavailable)(), ShouldBeTrue)
+			c.store.SetFaults(standin.Faults{})
+			So(eventually(all("k1", 200)), ShouldBeTrue)
+		})
+	})
+}
