Append callers' records through one VM while the log is slow

Cause: all VMs append submissions to one partition, which takes one append at a time. Change: package groupcommit. From 12 VMs on, a VM whose append takes 100 ms sends further ones to the VM with most cores, which puts all that wait into its next append and tells the others; appends are not repeated before 1.5 s meanwhile, owners' ones included.

--- /dev/null
+++ b/groupcommit/groupcommit_test.go
@@ -0,0 +1,245 @@
+package groupcommit
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-logr/logr"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/peridotlock/peridotlock/provider"
+	"github.com/peridotlock/peridotlock/wire"
+)
+
+// serialLog processes one append after the other, as a partition does.
+type serialLog struct {
+	provider.KeyedLog
+	took time.Duration // by one append
+
+	mu     sync.Mutex
+	calls  int
+	stored map[string]bool
+}
+
+func (l *serialLog) AppendKeyed(_ context.Context, _ provider.Partition, records []provider.KeyedRecord, _ provider.Condition) (provider.Offset, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.calls++
+	time.Sleep(l.took)
+	for _, r := range records {
+		l.stored[r.Key] = true
+	}
+	return 0, nil
+}
+
+// appender appends what waits in one call.
+type appender struct {
+	log  *serialLog
+	errs []error // returned in place of the log's answer
+
+	mu      sync.Mutex
+	waiting []provider.KeyedRecord
+}
+
+func (a *appender) Took() time.Duration { return a.log.took }
+
+func (a *appender) Store(ctx context.Context, records []provider.KeyedRecord) []error {
+	if a.errs != nil {
+		return a.errs
+	}
+	a.mu.Lock()
+	a.waiting = append(a.waiting, records...)
+	a.mu.Unlock()
+	time.Sleep(a.log.took)
+	a.mu.Lock()
+	batch := a.waiting
+	a.waiting = nil
+	a.mu.Unlock()
+	if len(batch) > 0 {
+		a.log.AppendKeyed(ctx, provider.Partition{}, batch, provider.Condition{})
+	}
+	return make([]error, len(records))
+}
+
+type vm struct {
+	*Log
+	appender *appender
+	stop     func()
+}
+
+// startVMs starts VMs that know each other; the first one has most cores.
+func startVMs(t *testing.T, log *serialLog, n int) []vm {
+	var peers []Peer
+	var listeners []net.Listener
+	for i := range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		listeners = append(listeners, l)
+		peers = append(peers, Peer{Name: fmt.Sprint("vm-", i), Address: l.Addr().String(), Cores: float64(n - i)})
+	}
+	var out []vm
+	for i, l := range listeners {
+		a := &appender{log: log}
+		v := vm{appender: a, Log: NewLog(Options{Log: log, Self: peers[i].Name, Appender: a, Pool: wire.NewPool(), Logger: logr.Discard(), Metrics: metrics.NewSet()})}
+		v.SetPeers(peers)
+		server := wire.NewServer()
+		So(server.Register(ServiceName, NewService(v.Log)), ShouldBeNil)
+		ctx, cancel := context.WithCancel(context.Background())
+		v.stop = cancel
+		t.Cleanup(cancel)
+		go server.Serve(ctx, l)
+		out = append(out, v)
+	}
+	return out
+}
+
+func record(key string) []provider.KeyedRecord {
+	return []provider.KeyedRecord{{Key: key, Value: []byte("v")}}
+}
+
+// All VMs of a fleet append at the same time while each append takes slowAppend and more.
+func TestSlowLogGetsFewAppends(t *testing.T) {
+	appendAll := func(vms []vm) (failed int) {
+		var group sync.WaitGroup
+		var mu sync.Mutex
+		for i, v := range vms {
+			group.Add(1)
+			go func() {
+				defer group.Done()
+				if _, err := v.AppendKeyed(context.Background(), provider.Partition{}, record(fmt.Sprint("r-", i)), provider.Condition{}); err != nil {
+					mu.Lock()
+					failed++
+					mu.Unlock()
+				}
+			}()
+		}
+		group.Wait()
+		return failed
+	}
+	Convey("Given the VMs of a fleet and a log whose appends take 150 ms", t, func() {
+		log := &serialLog{took: 150 * time.Millisecond, stored: map[string]bool{}}
+		vms := startVMs(t, log, MinVMs+3)
+		Convey("once two appends were slow, the records of all VMs take a few appends", func() {
+			vms[5].AppendKeyed(context.Background(), provider.Partition{}, record("first"), provider.Condition{})
+			vms[5].AppendKeyed(context.Background(), provider.Partition{}, record("second"), provider.Condition{}) // its committer tells the others
+			So(log.calls, ShouldEqual, 2)
+			So(appendAll(vms), ShouldEqual, 0)
+			So(len(log.stored), ShouldEqual, len(vms)+2)
+			So(log.calls, ShouldBeLessThan, 2+len(vms)/2)
+			So(vms[3].RepeatDelay(), ShouldEqual, slowRepeatDelay)
+		})
+		Convey("the next VM takes the place of a committer that has stopped, and no record is lost", func() {
+			vms[0].stop()
+			for _, v := range vms[1:] {
+				v.observe(slowAppend)
+			}
+			So(appendAll(vms[1:]), ShouldEqual, 0)
+			So(len(log.stored), ShouldEqual, len(vms)-1)
+			committer, ok := vms[5].committer()
+			So(ok, ShouldBeTrue)
+			So(committer.Name, ShouldEqual, "vm-1")
+		})
+	})
+	Convey("Given fewer VMs, each appends for itself however slow the log is", t, func() {
+		log := &serialLog{stored: map[string]bool{}}
+		vms := startVMs(t, log, MinVMs-1)
+		for _, v := range vms {
+			v.observe(time.Second)
+		}
+		So(appendAll(vms), ShouldEqual, 0)
+		So(log.calls, ShouldEqual, len(vms))
+		So(vms[0].RepeatDelay(), ShouldEqual, 0)
+	})
+}
+
+// A caller is told that its submission never runs only if no record of it can be stored.
+func TestUncertainResults(t *testing.T) {
+	Convey("An append of several records is refused only if the committer has stored none", t, func() {
+		log := &serialLog{stored: map[string]bool{}}
+		vms := startVMs(t, log, MinVMs)
+		vms[1].observe(slowAppend)
+		two := append(record("a"), record("b")...)
+		for _, c := range []struct {
+			errs []error
+			want error
+		}{
+			{[]error{nil, nil}, nil},
+			{[]error{provider.ErrUnavailable, provider.ErrUnavailable}, provider.ErrUnavailable},
+			{[]error{provider.ErrRejected, provider.ErrUnavailable}, provider.ErrUnavailable},
+			{[]error{nil, provider.ErrUnavailable}, provider.ErrInDoubt},
+			{[]error{provider.ErrInDoubt, provider.ErrUnavailable}, provider.ErrInDoubt},
+			{[]error{errors.New("other"), provider.ErrUnavailable}, provider.ErrInDoubt},
+			{[]error{nil}, provider.ErrInDoubt},
+		} {
+			vms[0].appender.errs = c.errs
+			_, err := vms[1].AppendKeyed(context.Background(), provider.Partition{}, two, provider.Condition{})
+			So(errors.Is(err, c.want), ShouldBeTrue)
+			So(errors.Is(err, provider.ErrUnavailable), ShouldEqual, c.want == provider.ErrUnavailable)
+		}
+	})
+	Convey("Conditional and large appends go to the log", t, func() {
+		log := &serialLog{stored: map[string]bool{}}
+		vms := startVMs(t, log, MinVMs)
+		vms[1].observe(slowAppend)
+		vms[0].appender.errs = []error{provider.ErrInDoubt}
+		end := provider.Offset(3)
+		_, err := vms[1].AppendKeyed(context.Background(), provider.Partition{}, record("a"), provider.Condition{End: &end})
+		So(err, ShouldBeNil)
+		_, err = vms[1].AppendKeyed(context.Background(), provider.Partition{}, []provider.KeyedRecord{{Key: "l", Value: make([]byte, maxSharedBytes)}}, provider.Condition{})
+		So(err, ShouldBeNil)
+		So(len(log.stored), ShouldEqual, 2)
+	})
+}
+
+func TestRoute(t *testing.T) {
+	peers := make([]Peer, MinVMs)
+	for i := range peers {
+		peers[i] = Peer{Name: fmt.Sprint("vm-", i), Cores: float64(MinVMs - i)}
+	}
+	Convey("Given the route of a VM of low rank", t, func() {
+		r := route{self: "vm-9"}
+		r.setPeers(peers)
+		_, ok := r.committer(0)
+		So(ok, ShouldBeFalse)
+		So(r.observe(slowAppend), ShouldBeTrue)
+		Convey("it ends after some fast appends in a row", func() {
+			for range fastAppends - 1 {
+				So(r.observe(fastAppend-1), ShouldBeFalse)
+			}
+			r.observe(fastAppend)
+			for range fastAppends - 1 {
+				So(r.observe(fastAppend-1), ShouldBeFalse)
+			}
+			So(r.observe(fastAppend-1), ShouldBeTrue)
+			_, ok := r.committer(0)
+			So(ok, ShouldBeFalse)
+		})
+		Convey("committers that fail are passed over for longer and longer, and the VM appends for itself if several do", func() {
+			for i := range maxTried {
+				p, ok := r.committer(time.Second)
+				So(ok, ShouldBeTrue)
+				So(p.Name, ShouldEqual, peers[i].Name)
+				r.handleFailure(p.Name, time.Second)
+			}
+			_, ok := r.committer(time.Second)
+			So(ok, ShouldBeFalse)
+			r.handleFailure("vm-0", 2*time.Second)
+			p, _ := r.committer(2*time.Second + minPause)
+			So(p.Name, ShouldEqual, "vm-1")
+			r.handleAnswer("vm-0")
+			p, _ = r.committer(2*time.Second + minPause)
+			So(p.Name, ShouldEqual, "vm-0")
+		})
+		Convey("its patience grows with the log's appends", func() {
+			So(r.patience(), ShouldEqual, minPatience)
+			r.observe(time.Second)
+			So(r.patience(), ShouldBeGreaterThan, 2*time.Second)
+		})
+	})
+}
--- /dev/null
+++ b/groupcommit/route.go
@@ -0,0 +1,111 @@
+package groupcommit
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// MinVMs is the number of VMs from which appends are shared: those of fewer VMs fit a slow log
+	// one by one.
+	MinVMs = 12
+	// slowAppend is the duration of an append from which the log counts as slow. In calm an append
+	// takes a round trip between regions and some milliseconds.
+	slowAppend = 100 * time.Millisecond
+	// fastAppend is the duration below which it counts as fast, and fastAppends the number of such
+	// appends in a row after which VMs append for themselves again.
+	fastAppend  = 70 * time.Millisecond
+	fastAppends = 3
+	// minPatience is the time after which another committer is asked as well. It is longer if the
+	// newest append took more than half of it: a record waits for one append and takes another.
+	minPatience = 800 * time.Millisecond
+	// A committer that does not answer is asked again after minPause, which doubles with each
+	// failure in a row.
+	minPause = time.Second
+	maxPause = 16 * time.Second
+	// maxTried bounds the committers that a VM tries before it appends for itself.
+	maxTried = 3
+)
+
+// Peer is a VM that can be a committer.
+type Peer struct {
+	Name    string
+	Address string // "IP:port"
+	Cores   float64
+}
+
+// route decides through which VM records are appended. It answers a log that becomes slow for all
+// VMs at once, for seconds, while some of them are restarted. It has no clock; callers pass the time
+// since boot.
+type route struct {
+	self   string
+	ranked []Peer // those with most cores first
+	paused map[string]pause
+	slow   bool
+	fast   int           // appends below fastAppend in a row
+	newest time.Duration // duration of the newest append
+}
+
+type pause struct {
+	until    time.Duration
+	failures int // in a row
+}
+
+// setPeers replaces the known VMs. All VMs compute the same order.
+func (r *route) setPeers(peers []Peer) {
+	r.ranked = slices.SortedFunc(slices.Values(peers), func(a, b Peer) int {
+		return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name)), cmp.Compare(a.Name, b.Name))
+	})
+}
+
+// committer returns the VM through which to append now, and false if this VM appends for itself.
+func (r *route) committer(now time.Duration) (Peer, bool) {
+	if !r.slow || len(r.ranked) < MinVMs {
+		return Peer{}, false
+	}
+	tried := 0
+	for _, p := range r.ranked {
+		if p.Name == r.self || now >= r.paused[p.Name].until {
+			return p, true
+		}
+		if tried++; tried == maxTried {
+			break
+		}
+	}
+	return Peer{}, false
+}
+
+// observe notes the duration of an append, which this VM or a committer has sent. It reports
+// whether the decision has changed.
+func (r *route) observe(took time.Duration) bool {
+	was := r.slow
+	r.newest = took
+	switch {
+	case took >= slowAppend:
+		r.slow, r.fast = true, 0
+	case took >= fastAppend:
+		r.fast = 0
+	case r.slow:
+		if r.fast++; r.fast >= fastAppends {
+			r.slow, r.fast = false, 0
+		}
+	}
+	return r.slow != was
+}
+
+// patience returns the time after which another committer is asked as well.
+func (r *route) patience() time.Duration { return max(minPatience, 2*r.newest+minPatience/2) }
+
+// handleFailure excludes a committer that did not answer for a time.
+func (r *route) handleFailure(name string, now time.Duration) {
+	if r.paused == nil {
+		r.paused = map[string]pause{}
+	}
+	n := r.paused[name].failures
+	r.paused[name] = pause{until: now + min(maxPause, minPause<<min(n, 8)), failures: n + 1}
+}
+
+func (r *route) handleAnswer(name string) { delete(r.paused, name) }
--- /dev/null
+++ b/intake/appender.go
@@ -0,0 +1,46 @@
+package intake
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/peridotlock/peridotlock/internal/crash"
+	"github.com/peridotlock/peridotlock/provider"
+)
+
+// Appender appends the records of several callers to a partition, those that wait in one call. It
+// is safe for concurrent use.
+type Appender struct{ batcher *batcher }
+
+// NewAppender returns an Appender for a partition. MinRepeatDelay returns the least time after which
+// an append without an answer is repeated.
+func NewAppender(log provider.KeyedLog, p provider.Partition, minRepeatDelay func() time.Duration) *Appender {
+	return &Appender{&batcher{log: log, partition: p, took: &atomic.Int64{}, minRepeatDelay: minRepeatDelay}}
+}
+
+// Store stores records and returns an error for each, nil if it was stored. An error wraps
+// provider.ErrUnavailable or provider.ErrRejected if the record was certainly not stored, and
+// provider.ErrInDoubt otherwise.
+func (a *Appender) Store(ctx context.Context, records []provider.KeyedRecord) []error {
+	errs := make([]error, len(records))
+	done := make(chan struct{})
+	for i, r := range records {
+		crash.Go(func() {
+			defer func() { done <- struct{}{} }()
+			errs[i] = a.batcher.store(ctx, r)
+			if errors.Is(errs[i], errNotSent) {
+				errs[i] = fmt.Errorf("%w: %w", provider.ErrUnavailable, errs[i])
+			}
+		}, "subject", "append", "key", r.Key)
+	}
+	for range records {
+		<-done
+	}
+	return errs
+}
+
+// Took returns the duration of the newest append that was answered, 0 if there is none.
+func (a *Appender) Took() time.Duration { return time.Duration(a.batcher.took.Load()) }
--- a/node/repeat.go
+++ b/node/repeat.go
@@ -31,7 +31,9 @@
 	// if so.
 	outcome func(err error) (done bool, result error)
 	failed  func(err error) // called after each attempt that is not final
-	urgent  bool            // a call of a takeover, during which the cell has no owner
+	// minDelay returns the least time between two attempts; nil for none.
+	minDelay func() time.Duration
+	urgent   bool // a call of a takeover, during which the cell has no owner
 }
 
 // maxInFlight returns the maximum number of attempts in flight.
@@ -45,10 +47,14 @@
 // delayAfter returns the time from the start of an attempt, counted from 1, to that of the
 // next one.
 func (r repeated) delayAfter(attempts int) time.Duration {
+	delay := r.delay.Before(attempts)
 	if r.urgent {
-		return r.delay.Before(1 + (attempts-1)/urgentAttempts)
+		delay = r.delay.Before(1 + (attempts-1)/urgentAttempts)
 	}
-	return r.delay.Before(attempts)
+	if r.minDelay != nil {
+		delay = max(delay, r.minDelay())
+	}
+	return delay
 }
 
 // run returns the result and the number of attempts.
