Let owners notice a slow log, and repeat appends late from then on

Cause: in the first second of a slow store each VM had to find out by an append of its own, repeats that were timed before that still went out, and 0.8 s of patience spread the records over several committers. Change: a slow append of an owner to the shared partition tells all VMs; a repeat that is due checks the least delay again; patience is 1.6 s, since a log that refuses what waits for over 2 s can take that long.

--- a/groupcommit/log.go
+++ b/groupcommit/log.go
@@ -139,6 +139,10 @@
 	return list
 }
 
+// Watch watches an append of this VM to the shared partition that does not go through the Log, until
+// stop is called. If it is slow, all VMs are told: owners append all the time.
+func (l *Log) Watch() (stop func() bool) { return time.AfterFunc(slowAppend, l.announce).Stop }
+
 // announce tells all VMs that the log is slow, once in announceInterval.
 func (l *Log) announce() {
 	defer crash.End(nil)
@@ -173,7 +177,7 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		args.Timeout = time.Until(deadline)
 	}
-	late := time.AfterFunc(l.patience(), func() { l.handleFailure(p, "no answer in time") })
+	late := time.AfterFunc(patience, func() { l.handleFailure(p, "no answer in time") })
 	defer late.Stop()
 	var reply StoreReply
 	if err := l.opts.Pool.Client(p.Address).Call(ctx, ServiceName+".Store", args, &reply); err != nil {
@@ -205,12 +209,6 @@
 	return slowRepeatDelay
 }
 
-func (l *Log) patience() time.Duration {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.route.patience()
-}
-
 func (l *Log) handleFailure(p Peer, reason string) {
 	l.failed.Inc()
 	l.mu.Lock()
--- a/groupcommit/route.go
+++ b/groupcommit/route.go
@@ -19,9 +19,9 @@
 	// appends in a row after which VMs append for themselves again.
 	fastAppend  = 70 * time.Millisecond
 	fastAppends = 3
-	// minPatience is the time after which another committer is asked as well. It is longer if the
-	// newest append took more than half of it: a record waits for one append and takes another.
-	minPatience = 800 * time.Millisecond
+	// patience is the time after which another committer is asked as well. A log that refuses what
+	// would wait for over 2 s can take that long, and a caller's time has room for one more attempt.
+	patience = 1600 * time.Millisecond
 	// A committer that does not answer is asked again after minPause, which doubles with each
 	// failure in a row.
 	minPause = time.Second
@@ -45,8 +45,7 @@
 	ranked []Peer // those with most cores first
 	paused map[string]pause
 	slow   bool
-	fast   int           // appends below fastAppend in a row
-	newest time.Duration // duration of the newest append
+	fast   int // appends below fastAppend in a row
 }
 
 type pause struct {
@@ -82,7 +81,6 @@
 // whether the decision has changed.
 func (r *route) observe(took time.Duration) bool {
 	was := r.slow
-	r.newest = took
 	switch {
 	case took >= slowAppend:
 		r.slow, r.fast = true, 0
@@ -96,9 +94,6 @@
 	return r.slow != was
 }
 
-// patience returns the time after which another committer is asked as well.
-func (r *route) patience() time.Duration { return max(minPatience, 2*r.newest+minPatience/2) }
-
 // handleFailure excludes a committer that did not answer for a time.
 func (r *route) handleFailure(name string, now time.Duration) {
 	if r.paused == nil {
--- a/node/repeat.go
+++ b/node/repeat.go
@@ -77,6 +77,7 @@
 	inFlight, attempts := 1, 1
 	timer := time.NewTimer(r.delayAfter(attempts))
 	defer timer.Stop()
+	lastStart := boottime.Now()
 	for {
 		start := false
 		select {
@@ -91,6 +92,12 @@
 				start = true
 			}
 		case <-timer.C:
+			if r.minDelay != nil {
+				if left := lastStart + r.minDelay() - boottime.Now(); left > 0 { // it has risen meanwhile
+					timer.Reset(left)
+					continue
+				}
+			}
 			start = inFlight < r.maxInFlight()
 			timer.Reset(r.delayAfter(attempts + 1))
 		case <-ctx.Done():
@@ -99,6 +106,7 @@
 		if start {
 			inFlight++
 			attempts++
+			lastStart = boottime.Now()
 			go attempt()
 		}
 	}
