--- a/hostile/hostile_test.go
+++ b/hostile/hostile_test.go
@@ -135,14 +135,17 @@
 
 // The other listeners serve the platform and operators, and are reached by the same network.
 func TestOtherListeners(t *testing.T) {
-	for name, address := range map[string]func(*vm) string{
-		"readiness": func(v *vm) string { return v.readiness },
-		"operators": func(v *vm) string { return v.operators },
-		"metrics":   func(v *vm) string { return v.metrics },
+	for _, l := range []struct {
+		name    string
+		address func(*vm) string
+	}{
+		{"readiness", func(v *vm) string { return v.readiness }},
+		{"operators", func(v *vm) string { return v.operators }},
+		{"metrics", func(v *vm) string { return v.metrics }},
 	} {
-		t.Run(name+"/headers", func(t *testing.T) { endure(t, address, headerWithoutEnd) })
-		t.Run(name+"/lines", func(t *testing.T) { endure(t, address, manyHeaderLines) })
-		t.Run(name+"/bodies", func(t *testing.T) { endure(t, address, unfinishedBodies) })
+		t.Run(l.name+"/headers", func(t *testing.T) { endure(t, l.address, headerWithoutEnd) })
+		t.Run(l.name+"/lines", func(t *testing.T) { endure(t, l.address, manyHeaderLines) })
+		t.Run(l.name+"/bodies", func(t *testing.T) { endure(t, l.address, unfinishedBodies) })
 	}
 	peers := func(v *vm) string { return v.peers }
 	t.Run("peers/messages", func(t *testing.T) { endure(t, peers, endlessMessage) })
--- a/hostile/process_test.go
+++ b/hostile/process_test.go
@@ -41,8 +41,10 @@
 	os.Exit(code)
 }
 
+// freeAddress returns an address for a daemon. The crowd's own ends have another loopback address,
+// so that none of them takes the port before the daemon does.
 func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", "127.0.77.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -174,16 +176,12 @@
 	p.t.Helper()
 	select {
 	case <-p.exited:
-		p.t.Errorf("process ended, memory %d MB of %d", p.memoryBytes>>20, machineMB)
+		p.t.Errorf("process ended")
 		p.printLog()
-	default:
-	}
-	select {
-	case <-p.sampled:
 	default:
 		p.command.Process.Signal(syscall.SIGKILL)
-		<-p.sampled
 	}
+	<-p.sampled
 	p.t.Logf("memory %d MB of %d, %d descriptors of %d", p.memoryBytes>>20, machineMB, p.descriptors, machineFDs)
 	if p.memoryBytes > machineMB<<20 {
 		p.t.Errorf("memory of %d MB, want at most %d", p.memoryBytes>>20, machineMB)
