--- a/guard/guard.go
+++ b/guard/guard.go
@@ -44,7 +44,7 @@
 	Limits         Limits
 	HeaderBytes    func() int    // limit of a header; nil for DefaultHeaderBytes
 	BodyBytes      func() int    // limit of a body; nil for DefaultBodyBytes
-	ProgressWindow time.Duration // 0 for DefaultProgressWindow
+	ProgressWindow time.Duration // 0 for DefaultProgressWindow; negative if the handler ends slow bodies itself
 	Log            logr.Logger
 	Metrics        *metrics.Set
 }
@@ -66,7 +66,7 @@
 	if o.BodyBytes == nil {
 		o.BodyBytes = func() int { return DefaultBodyBytes }
 	}
-	if o.ProgressWindow <= 0 {
+	if o.ProgressWindow == 0 {
 		o.ProgressWindow = DefaultProgressWindow
 	}
 	g := &Guard{options: o, ledger: ledger{limits: o.Limits}, logged: map[string]time.Time{}}
@@ -90,8 +90,13 @@
 	headerTooLarge     = "header-size"
 	bodyTooLarge       = "body-size"
 	noProgress         = "no-progress"
+	// WorkTooLarge is the reason for requests that leave more work than there is memory for.
+	WorkTooLarge = "work"
 )
 
+// CountRefusal counts a request that a handler has refused.
+func (g *Guard) CountRefusal(reason string) { g.count(refused, reason, 1) }
+
 // count counts and logs what was closed or refused.
 func (g *Guard) count(action, reason string, n int) {
 	if n == 0 {
--- a/guard/guard_test.go
+++ b/guard/guard_test.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -110,3 +112,21 @@
 		})
 	})
 }
+
+func TestHandlerKeepsItsDeadline(t *testing.T) {
+	Convey("A handler that ends slow bodies itself keeps its deadline while the body makes progress", t, func() {
+		g := New(Options{Name: "test", Limits: Machine{}.Callers(), ProgressWindow: -1, Log: logr.Discard(), Metrics: metrics.NewSet()})
+		l, err := g.Listen("127.0.0.1:0")
+		So(err, ShouldBeNil)
+		s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			http.NewResponseController(w).SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+			if _, err := io.ReadAll(r.Body); errors.Is(err, os.ErrDeadlineExceeded) {
+				w.WriteHeader(http.StatusRequestTimeout)
+			}
+		})}
+		g.Configure(s)
+		go s.Serve(l)
+		Reset(func() { s.Close() })
+		So(exchange(l.Addr().String(), "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5000\r\n\r\n"+strings.Repeat("x", 4000), 1), ShouldResemble, []int{408})
+	})
+}
--- a/guard/handler.go
+++ b/guard/handler.go
@@ -59,7 +59,7 @@
 
 // Read implements io.Reader. The error is ErrOverloaded if there is no memory for the body.
 func (b *guardedBody) Read(p []byte) (int, error) {
-	if b.deadline.IsZero() || b.received >= progressBytes {
+	if b.window > 0 && (b.deadline.IsZero() || b.received >= progressBytes) {
 		b.received, b.deadline = 0, time.Now().Add(b.window)
 		b.control.SetReadDeadline(b.deadline) // without effect only if the connection has ended
 	}
@@ -74,9 +74,11 @@
 	switch {
 	case err == io.EOF && !b.ended:
 		b.ended = true
-		b.control.SetReadDeadline(time.Time{})
+		if b.window > 0 {
+			b.control.SetReadDeadline(time.Time{})
+		}
 		g.setState(b.conn.account, handling)
-	case errors.Is(err, os.ErrDeadlineExceeded):
+	case b.window > 0 && errors.Is(err, os.ErrDeadlineExceeded):
 		g.count(closed, noProgress, 1)
 	}
 	return n, err
@@ -84,7 +86,7 @@
 
 // finish ends the handling. The server may still read the rest of the body.
 func (b *guardedBody) finish() {
-	if !b.ended {
+	if !b.ended && b.window > 0 {
 		b.control.SetReadDeadline(time.Now().Add(b.window))
 	}
 	b.conn.guard.setState(b.conn.account, finishing)
--- a/node/guard.go
+++ b/node/guard.go
@@ -43,14 +43,13 @@
 
 // admit returns the function that decides whether this VM has memory for a submission. A
 // submission that is refused has not been stored.
-func (n *Node) admit() func(bytes int64) bool {
+func (n *Node) admit(callers *guard.Guard) func(bytes int64) bool {
 	admission := guard.NewAdmission(n.machine())
-	refused := n.set.NewCounter("peridotlock_submissions_without_memory_total")
 	return func(bytes int64) bool {
 		if admission.Admit(bytes) {
 			return true
 		}
-		refused.Inc()
+		callers.CountRefusal(guard.WorkTooLarge)
 		return false
 	}
 }
