--- a/guard/admission.go
+++ b/guard/admission.go
@@ -27,7 +27,7 @@
 
 // NewAdmission returns an Admission for a machine.
 func NewAdmission(m Machine) *Admission {
-	return &Admission{start: time.Now(), admission: admission{memory: m.memory()}}
+	return &Admission{start: time.Now(), admission: newAdmission(m.memory())}
 }
 
 // Admit reports whether there is memory for work that keeps the given number of bytes.
@@ -44,24 +44,31 @@
 type admission struct {
 	memory            int64
 	previous, current int64 // bytes admitted in the window before, and in this one
-	windowStart       time.Duration
+	// Bytes in use at the start of the window before, and of this one.
+	livePrevious, liveStart int64
+	windowStart             time.Duration
+}
+
+func newAdmission(memory int64) admission {
+	return admission{memory: memory, windowStart: -2 * admissionWindow}
 }
 
 // admit decides on work of a size, when live bytes are known to be in use.
 func (a *admission) admit(bytes, live int64, now time.Duration) bool {
 	if elapsed := now - a.windowStart; elapsed >= admissionWindow {
-		a.previous = a.current
+		a.previous, a.livePrevious = a.current, a.liveStart
 		if elapsed >= 2*admissionWindow {
-			a.previous = 0
+			a.previous, a.livePrevious = 0, live
 		}
-		a.current, a.windowStart = 0, now
+		a.current, a.liveStart, a.windowStart = 0, live, now
 	}
 	share := int64(liveShareSmall)
 	if bytes > largeWork {
 		share = liveShareLarge
 	}
 	// Work that alone exceeds the share is accepted by an otherwise empty process.
-	if kept := live + a.previous + a.current; kept+bytes > a.memory/100*share && kept > a.memory/100*(share/2) {
+	kept := max(live, a.livePrevious+a.previous+a.current)
+	if kept+bytes > a.memory/100*share && kept > a.memory/100*(share/2) {
 		return false
 	}
 	a.current += bytes
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -132,12 +132,6 @@
 	return ok
 }
 
-func (g *Guard) release(a *account, n int64) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.ledger.release(a, n)
-}
-
 func (g *Guard) closeAll(victims []*account, reason string) {
 	for _, v := range victims {
 		v.close()
