--- a/groupcommit/log.go
+++ b/groupcommit/log.go
@@ -20,6 +20,9 @@
 // for their number, and a record that the log may reject must not be shared.
 const maxSharedBytes = 64 << 10
 
+// MaxRequestBytes bounds the size of a request to a committer.
+const MaxRequestBytes = maxSharedBytes + 16<<10
+
 const (
 	announceInterval = time.Second            // between two announcements of a slow log
 	noticeTimeout    = 500 * time.Millisecond // of one notice
