Tenants: what a tenant sends beyond its weight a second waits behind the rest of its own work

Cause: a tenant that sends many times its usual work fills its own share and cap in the order of arrival, so that what it may send comes too late as well.

Change: each VM meters the submissions of all cells as it reads them, with a token bucket for each tenant; those that find no token rank last among equal priority and side of the share.

--- a/dispatch/share_test.go
+++ b/dispatch/share_test.go
@@ -31,17 +31,21 @@
 }
 
 // hotLoad sends the work of three tenants to a cell of 32 places, of which b and c need an eighth
-// each. Weights are twice the usual load. a usually has as much as both together, and sends 7.5
+// each. a usually has as much as both together, and sends 7.5
 // times of it, in tasks that rank before theirs.
 type hotLoad struct {
 	*simulation
-	next   int
-	sent   map[string]time.Duration // submissions of b and c without an end
-	waited time.Duration            // the longest from sending to the end
+	next    int
+	meter   policy.Meter
+	metered bool                     // owners know which submissions exceed their tenant's weight
+	sent    map[string]time.Duration // submissions of b and c without an end
+	within  map[string]time.Duration // the same of a, within its weight
+	waited  time.Duration            // the longest of b and c from sending to the end
+	waitedA time.Duration            // the same of a, within its weight
 }
 
 func newHotLoad(tenants ...policy.Tenant) *hotLoad {
-	l := &hotLoad{simulation: newSimulation(4, 1), sent: map[string]time.Duration{}}
+	l := &hotLoad{simulation: newSimulation(4, 1), sent: map[string]time.Duration{}, within: map[string]time.Duration{}}
 	l.config = policy.New(2, []policy.Queue{{Name: "q", Service: "s", MaxAttempts: 3}}, []policy.Service{{Name: "s", RejectsOverload: true}}, tenants...)
 	l.core.SetConfig(l.config)
 	return l
@@ -52,12 +56,30 @@
 	s.Tenant = tenant
 	id := fmt.Sprintf("%016x", 0x2000+l.next)
 	l.next++
+	t := l.config.Tenant(tenant)
+	exceeds := t != nil && l.meter.Exceeds(t, l.now, 0)
+	s.BeyondWeight = l.metered && exceeds
 	l.submit(id, s)
-	if tenant != "a" {
+	switch {
+	case tenant != "a":
 		l.sent[id] = l.now
+	case !exceeds:
+		l.within[id] = l.now
 	}
 }
 
+// longest removes the submissions that have ended, and returns the longest wait of all.
+func (l *hotLoad) longest(sent map[string]time.Duration) time.Duration {
+	longest := time.Duration(0)
+	for id, at := range sent {
+		if l.publishedStates[submission.ID(id)] == submission.Completed {
+			delete(sent, id)
+		}
+		longest = max(longest, l.now-at)
+	}
+	return longest
+}
+
 // play sends for 20 s and replaces the owner in between if replaced is true.
 func (l *hotLoad) play(replaced bool) {
 	for tick := range 20 {
@@ -70,18 +92,14 @@
 			l.takeOver()
 		}
 		l.run(time.Second)
-		for id, sent := range l.sent {
-			if l.publishedStates[submission.ID(id)] == submission.Completed {
-				delete(l.sent, id)
-			}
-			l.waited = max(l.waited, l.now-sent)
-		}
+		l.waited = max(l.waited, l.longest(l.sent))
+		l.waitedA = max(l.waitedA, l.longest(l.within))
 	}
 }
 
 // TestSharesOfHotTenant replays a tenant that sends many times its usual work while others wait.
 func TestSharesOfHotTenant(t *testing.T) {
-	tenants := []policy.Tenant{{Name: "a", Weight: 2}, {Name: "b", Weight: 1}, {Name: "c", Weight: 1}}
+	tenants := []policy.Tenant{{Name: "a", Weight: 8}, {Name: "b", Weight: 4}, {Name: "c", Weight: 4}}
 	const bound = 6 * time.Second // of work of 2 s
 	Convey("Without tenants, work waits behind that of the hot one", t, func() {
 		l := newHotLoad()
@@ -94,6 +112,16 @@
 		So(l.waited, ShouldBeLessThan, bound)
 		So(l.violations, ShouldBeEmpty)
 	})
+	Convey("What the hot tenant sends within its weight waits behind the rest of its own, unless owners know which it is", t, func() {
+		l := newHotLoad(tenants...)
+		l.play(false)
+		So(l.waitedA, ShouldBeGreaterThan, bound)
+		l = newHotLoad(tenants...)
+		l.metered = true
+		l.play(false)
+		So(l.waitedA, ShouldBeLessThan, bound)
+		So(l.waited, ShouldBeLessThan, bound)
+	})
 	Convey("Shares hold after the owner was replaced", t, func() {
 		l := newHotLoad(tenants...)
 		l.play(true)
--- a/node/tenants_test.go
+++ b/node/tenants_test.go
@@ -10,7 +10,10 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/peridotlock/peridotlock/cell"
 	"github.com/peridotlock/peridotlock/platform/standin"
+	"github.com/peridotlock/peridotlock/policy"
+	"github.com/peridotlock/peridotlock/submission"
 )
 
 // tenantsConfig returns a version of configV1 in which queue q needs a key of a tenant.
@@ -85,3 +88,43 @@
 		})
 	})
 }
+
+func TestTenantRates(t *testing.T) {
+	Convey("Given submissions of a tenant of weight 2", t, func() {
+		config := policy.New(1, nil, nil, policy.Tenant{Name: "a", Weight: 2})
+		r := tenantRates{config: func() *policy.Config { return config }}
+		submissions := cell.NewReplica()
+		submissions.SetExceeds(r.exceeds)
+		next := 0
+		beyond := func(n int, tenant string, now time.Duration) int {
+			count := 0
+			for range n {
+				next++
+				id := submission.ID(fmt.Sprintf("%016x", next))
+				record, err := cell.SubmissionRecord(id, submission.Submission{Tenant: tenant, Steps: []submission.Step{{Count: 1}}})
+				So(err, ShouldBeNil)
+				So(submissions.Apply(record, now), ShouldBeNil)
+				So(submissions.Apply(record, now), ShouldBeNil) // counts once
+				if e, _ := submissions.Lookup(id); e.Submission.BeyondWeight {
+					count++
+				}
+			}
+			return count
+		}
+		So(beyond(10, "a", time.Second), ShouldEqual, 0)
+		r.read(true, 2*time.Second)
+		So(beyond(10, "a", 2*time.Second), ShouldEqual, 0)
+		r.read(false, 3*time.Second)
+		So(beyond(10, "a", 3*time.Second), ShouldEqual, 8)
+		So(beyond(10, "", 3*time.Second), ShouldEqual, 0)
+		So(beyond(10, "removed", 3*time.Second), ShouldEqual, 0)
+		Convey("those of a long gap between two reads are not taken for a burst", func() {
+			r.read(false, 8*time.Second)
+			So(beyond(10, "a", 8*time.Second), ShouldEqual, 0)
+		})
+		Convey("all are within it once the configuration has no tenants", func() {
+			config = policy.New(2, nil, nil)
+			So(beyond(10, "a", 3*time.Second), ShouldEqual, 0)
+		})
+	})
+}
