Tenants: tell operators which work shares defer

Cause: nothing showed why a step of a tenant waits behind others. Result: go test ./dispatch -run 'Share|Fair|WithoutFaults' passes.

--- a/dispatch/refusal.go
+++ b/dispatch/refusal.go
@@ -83,10 +83,10 @@
 		Kind: "waiting",
 		Task: t.id().String(),
 		Run:  t.runNumber,
-		Detail: fmt.Sprintf("%d of %d tasks, %d mCPU and %d MB each; of %d executors %d accept work, refused for: %s; %s; rank %d of %d; used %d of %d mCPU, %d of %d MB",
+		Detail: fmt.Sprintf("%d of %d tasks, %d mCPU and %d MB each; of %d executors %d accept work, refused for: %s; %s; rank %d of %d; used %d of %d mCPU, %d of %d MB%s",
 			len(st.waiting), len(st.tasks), st.spec.Size.MilliCPU, st.spec.Size.MemoryMB, len(c.executors), c.acceptingWork, reasons,
 			c.overdueState(st, candidates, now), slices.Index(c.waiting, st)+1, len(c.waiting),
-			used.MilliCPU, capacity.MilliCPU, used.MemoryMB, capacity.MemoryMB),
+			used.MilliCPU, capacity.MilliCPU, used.MemoryMB, capacity.MemoryMB, st.shareState()),
 		Age: now - st.unplacedSince,
 	})
 }
--- a/dispatch/share.go
+++ b/dispatch/share.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"math"
 	"slices"
 
@@ -50,6 +51,9 @@
 // not wait behind it, and none waits for the sake of shares while there is room for all.
 // Work without a tenant, and tenants that the configuration does not have, have no share to exceed.
 func (c *Core) rankByShare(ranks map[*step]rank, candidates []*candidate) (marked bool) {
+	for _, st := range c.waiting {
+		st.overShare = false
+	}
 	if c.config == nil || len(c.config.Tenants) == 0 {
 		return false
 	}
@@ -75,7 +79,7 @@
 			continue
 		}
 		if r := ranks[st]; d.tenants[t].left <= 0 {
-			r.overShare, marked = true, true
+			r.overShare, st.overShare, marked = true, true, true
 			ranks[st] = r
 		}
 		d.tenants[t].left -= amounts[st.job.sub.Service](waitingDemand(st))
@@ -164,3 +168,17 @@
 		}
 	}
 }
+
+// shareState says for the log how a step ranks among the work of tenants; "" without a tenant.
+func (st *step) shareState() string {
+	switch name := st.job.sub.Tenant; {
+	case name == "":
+		return ""
+	case st.overShare:
+		return fmt.Sprintf("; tenant %q, beyond its share", name)
+	case st.job.sub.BeyondWeight:
+		return fmt.Sprintf("; tenant %q, beyond its weight a second", name)
+	default:
+		return fmt.Sprintf("; tenant %q", name)
+	}
+}
--- a/dispatch/share_test.go
+++ b/dispatch/share_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"testing"
@@ -137,6 +138,7 @@
 			}
 			slices.SortFunc(l.core.waiting, func(x, y *step) int { return compareRank(ranks[x], ranks[y]) })
 			l.core.rankByShare(ranks, l.core.candidates(l.now))
+			So(l.core.Stats().OverShare, ShouldEqual, len(slices.DeleteFunc(slices.Collect(maps.Values(ranks)), func(r rank) bool { return !r.overShare })))
 			out := map[string]int{}
 			for st, r := range ranks {
 				if r.overShare {
