--- a/dispatch/share.go
+++ b/dispatch/share.go
@@ -37,6 +37,7 @@
 type serviceDemand struct {
 	free, waiting fleet.Resources // on the candidates; of all steps
 	tenants       map[*policy.Tenant]*tenantDemand
+	amount        func(fleet.Resources) float64 // of the shortest resource
 }
 
 // tenantDemand is the batch work of one tenant.
@@ -67,10 +68,8 @@
 		return false
 	}
 	c.addUse(services)
-	amounts := map[string]func(fleet.Resources) float64{}
-	for service, d := range services {
-		amounts[service] = d.shortest()
-		d.divide(amounts[service])
+	for _, d := range services {
+		d.divide()
 	}
 	for _, st := range c.waiting {
 		d, ok := services[st.job.sub.Service]
@@ -82,7 +81,7 @@
 			r.overShare, st.overShare, marked = true, true, true
 			ranks[st] = r
 		}
-		d.tenants[t].left -= amounts[st.job.sub.Service](waitingDemand(st))
+		d.tenants[t].left -= d.amount(waitingDemand(st))
 	}
 	return marked
 }
@@ -152,19 +151,20 @@
 	return func(r fleet.Resources) float64 { return float64(r.MilliCPU) }
 }
 
-// divide sets what is left of the tenants' shares of a resource.
-func (d *serviceDemand) divide(amount func(fleet.Resources) float64) {
-	room := amount(d.free)
+// divide sets what is left of the tenants' shares.
+func (d *serviceDemand) divide() {
+	d.amount = d.shortest()
+	room := d.amount(d.free)
 	var loads []tenantLoad
 	for t, demand := range d.tenants {
-		loads = append(loads, tenantLoad{weight: t.Weight, demand: amount(demand.used.Add(demand.waiting))})
-		room += amount(demand.used)
+		loads = append(loads, tenantLoad{weight: t.Weight, demand: d.amount(demand.used.Add(demand.waiting))})
+		room += d.amount(demand.used)
 	}
 	level := fairLevel(loads, room)
 	for t, demand := range d.tenants {
 		demand.left = -1
 		if t.Weight > 0 {
-			demand.left = level*t.Weight - amount(demand.used)
+			demand.left = level*t.Weight - d.amount(demand.used)
 		}
 	}
 }
