Tenants: meter weights over five seconds

Cause: a bucket of one second finds chance bursts of tenants with many callers beyond their weight.

Change: the bucket is five seconds deep.

Result: go test ./policy, ./node -run TenantRates, ./dispatch -run SharesOf pass.

--- a/policy/meter.go
+++ b/policy/meter.go
@@ -5,8 +5,9 @@
 	"time"
 )
 
-// meterWindow is the time whose submissions may arrive at once.
-const meterWindow = time.Second
+// meterWindow is the time whose submissions may arrive at once. Callers of a tenant are many, and
+// what they send in a single second varies by more than the tenant's usual distance to its weight.
+const meterWindow = 5 * time.Second
 
 // Meter tells which submissions of a tenant exceed its weight, in submissions a second, with a token
 // bucket for each tenant. It is safe for concurrent use.
