--- a/node/tenants_test.go
+++ b/node/tenants_test.go
@@ -10,7 +10,10 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/peridotlock/peridotlock/cell"
 	"github.com/peridotlock/peridotlock/platform/standin"
+	"github.com/peridotlock/peridotlock/policy"
+	"github.com/peridotlock/peridotlock/submission"
 )
 
 // tenantsConfig returns a version of configV1 in which queue q needs a key of a tenant.
@@ -18,12 +21,10 @@
 	return strings.Replace(configV1, `"version":1`, fmt.Sprintf(`"version":%d,"tenants":[%s]`, version, tenants), 1)
 }
 
-// callWithKey is call with an API key, on a connection of a given client.
-func (v *vm) callWithKey(client *http.Client, method, path, key, body string) int {
-	req, err := http.NewRequest(method, "http://"+v.callers+path, strings.NewReader(body))
-	if err != nil {
-		return 0
-	}
+// statusWithKey sends a request about id1 with an API key, and returns the status.
+func (v *vm) statusWithKey(client *http.Client, method, key, body string) int {
+	req, err := http.NewRequest(method, "http://"+v.callers+"/q/"+id1, strings.NewReader(body))
+	So(err, ShouldBeNil)
 	req.Host = "h.example"
 	req.Header.Set("X-Api-Key", key)
 	reply, err := client.Do(req)
@@ -45,13 +46,13 @@
 		client := &http.Client{Transport: &http.Transport{MaxConnsPerHost: 1}}
 		defer client.CloseIdleConnections()
 		So(eventually(func() bool {
-			return a.callWithKey(client, "POST", "/q/"+id1, "k1", longRunningSubmission) == 200
+			return a.statusWithKey(client, "POST", "k1", longRunningSubmission) == 200
 		}), ShouldBeTrue)
 		So(eventually(func() bool { return c.running() == 4 }), ShouldBeTrue)
 		all := func(key string, status int) func() bool {
 			return func() bool {
 				for _, v := range c.vms {
-					if v.callWithKey(client, "GET", "/q/"+id1, key, "") != status {
+					if v.statusWithKey(client, "GET", key, "") != status {
 						return false
 					}
 				}
@@ -66,7 +67,7 @@
 			c.store.Put("op", "config", tenantsConfig(3, `{"name":"a","apiKeys":["k2"]},{"name":"a","apiKeys":["k1"]}`))
 			So(eventually(all("k2", 200)), ShouldBeTrue)
 			So(all("k1", http.StatusUnauthorized)(), ShouldBeTrue)
-			So(a.callWithKey(client, "DELETE", "/q/"+id1, "k1", ""), ShouldEqual, http.StatusUnauthorized)
+			So(a.statusWithKey(client, "DELETE", "k1", ""), ShouldEqual, http.StatusUnauthorized)
 			So(c.running(), ShouldEqual, 4)
 		})
 		Convey("the work of a tenant that is removed goes on, and its keys are refused", func() {
@@ -85,3 +86,43 @@
 		})
 	})
 }
+
+func TestTenantRates(t *testing.T) {
+	Convey("Given submissions of a tenant of weight 2", t, func() {
+		config := policy.New(1, nil, nil, policy.Tenant{Name: "a", Weight: 2})
+		r := tenantRates{config: func() *policy.Config { return config }}
+		submissions := cell.NewReplica()
+		submissions.SetExceeds(r.exceeds)
+		next := 0
+		beyond := func(n int, tenant string, now time.Duration) int {
+			count := 0
+			for range n {
+				next++
+				id := submission.ID(fmt.Sprintf("%016x", next))
+				record, err := cell.SubmissionRecord(id, submission.Submission{Tenant: tenant, Steps: []submission.Step{{Count: 1}}})
+				So(err, ShouldBeNil)
+				So(submissions.Apply(record, now), ShouldBeNil)
+				So(submissions.Apply(record, now), ShouldBeNil) // counts once
+				if e, _ := submissions.Lookup(id); e.Submission.BeyondWeight {
+					count++
+				}
+			}
+			return count
+		}
+		So(beyond(10, "a", time.Second), ShouldEqual, 0)
+		r.read(true, 2*time.Second)
+		So(beyond(10, "a", 2*time.Second), ShouldEqual, 0)
+		r.read(false, 3*time.Second)
+		So(beyond(18, "a", 3*time.Second), ShouldEqual, 8)
+		So(beyond(10, "", 3*time.Second), ShouldEqual, 0)
+		So(beyond(10, "removed", 3*time.Second), ShouldEqual, 0)
+		Convey("those of a long gap between two reads are not taken for a burst", func() {
+			r.read(false, 12*time.Second)
+			So(beyond(18, "a", 12*time.Second), ShouldEqual, 0)
+		})
+		Convey("all are within it once the configuration has no tenants", func() {
+			config = policy.New(2, nil, nil)
+			So(beyond(10, "a", 3*time.Second), ShouldEqual, 0)
+		})
+	})
+}
