--- /dev/null
+++ b/quota/transfer.go
@@ -0,0 +1,134 @@
+package quota
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Demand is what a cell needs of a tenant's cap, in parts of Whole.
+type Demand struct {
+	_    struct{} `cbor:",toarray"`
+	Used int64    // by runs, and by long-running tasks that are to start again
+	Next int64    // the share with which the cell could start one more task, or a whole gang; Used if none is refused for the cap
+	Need int64    // the share with which the cell could start all tasks that are refused for the cap alone
+}
+
+// IsPossible reports whether an owner may have published d.
+func (d Demand) IsPossible() bool {
+	return d.Used >= 0 && d.Used <= d.Next && d.Next <= d.Need && d.Need <= maxShareFor
+}
+
+// wants reports whether tasks wait for the tenant's cap.
+func (d Demand) wants() bool { return d.Need > d.Used }
+
+// Cell is what is known of a tenant in one cell.
+type Cell struct {
+	Share     int64
+	Demand    Demand
+	Reachable bool // its owner has published something lately
+}
+
+// Transfers returns the parts of a tenant's cap that a cell should give to each of the others.
+//
+// It answers demand that appears in one cell while the cap lies idle in others, a cap so small that its parts
+// are useless until they lie together, and a tenant at its cap whose work in one cell would
+// refill what ends there and keep that in another waiting. Givers share a transfer in
+// proportion to what they can spare. All owners compute the same from the same records;
+// where these are behind, a cell gets too much for a while, from parts that nobody needs.
+func Transfers(self int, cells []Cell) []int64 {
+	if cells[self].Share <= cells[self].Demand.Used {
+		return nil
+	}
+	target := allocate(cells)
+	spare, missing := int64(0), int64(0)
+	short := make([]int64, len(cells))
+	for i, c := range cells {
+		if !c.Reachable {
+			continue
+		}
+		spare += max(0, c.Share-target[i])
+		if i != self && c.gains(target[i]) {
+			short[i] = target[i] - c.Share
+			missing += short[i]
+		}
+	}
+	left := cells[self].Share - target[self]
+	if left <= 0 || missing == 0 {
+		return nil
+	}
+	own, all := float64(left), float64(max(spare, missing))
+	var out []int64
+	for i, n := range short {
+		part := min(left, int64(float64(n)*own/all)+1, n)
+		if n == 0 || part == 0 {
+			continue
+		}
+		if out == nil {
+			out = make([]int64, len(cells))
+		}
+		out[i] = part
+		left -= part
+	}
+	return out
+}
+
+// gains reports whether a cell could start more tasks with a share than with its present one.
+// Other transfers would move parts to and fro without use.
+func (c Cell) gains(share int64) bool {
+	unit := c.Demand.Next - c.Demand.Used
+	if unit <= 0 || share <= c.Share {
+		return false
+	}
+	return (share-c.Demand.Used)/unit > max(0, c.Share-c.Demand.Used)/unit
+}
+
+// allocate divides the shares of all cells: what each uses, then one task for each that wants to start
+// some, then the rest in equal parts up to the needs. A cell that can't be reached keeps its share.
+func allocate(cells []Cell) []int64 {
+	out := make([]int64, len(cells))
+	left := int64(0)
+	var wanting []int
+	for i, c := range cells {
+		left += c.Share
+		out[i] = c.Demand.Used
+		if !c.Reachable {
+			out[i] = c.Share
+		} else if c.Demand.wants() {
+			wanting = append(wanting, i)
+		}
+		left -= out[i]
+	}
+	// Cells without any run go first, then those that have the room already, so that it isn't moved.
+	slices.SortStableFunc(wanting, func(x, y int) int {
+		return cmp.Or(compareBool(cells[x].Demand.Used > 0, cells[y].Demand.Used > 0), compareBool(cells[x].Share < cells[x].Demand.Next, cells[y].Share < cells[y].Demand.Next))
+	})
+	wanting = slices.DeleteFunc(wanting, func(i int) bool {
+		unit := cells[i].Demand.Next - cells[i].Demand.Used
+		if unit > left {
+			return true
+		}
+		out[i] += unit
+		left -= unit
+		return false
+	})
+	slices.SortStableFunc(wanting, func(x, y int) int {
+		return cmp.Compare(cells[x].Demand.Need-out[x], cells[y].Demand.Need-out[y])
+	})
+	for n, i := range wanting {
+		part := min(cells[i].Demand.Need-out[i], left/int64(len(wanting)-n))
+		out[i] += part
+		left -= part
+	}
+	return out
+}
+
+// compareBool orders false before true.
+func compareBool(x, y bool) int {
+	switch {
+	case x == y:
+		return 0
+	case y:
+		return -1
+	}
+	return 1
+}
