Start a tenant's tasks only within the cell's part of its cap

A task that waits for the cap is not overdue, reserves no room, is not lent or handed over, and is no part of the published load.

--- a/dispatch/overdue.go
+++ b/dispatch/overdue.go
@@ -228,7 +228,7 @@
 
 // chooseOverdue returns the candidate for a task of an overdue submission, or nil.
 func (c *Core) chooseOverdue(t *task, candidates []*candidate, lenient leniency, now time.Duration) *candidate {
-	if lenient == strict || t.isStray() || now < t.step.nextOverdueAt[lenient] {
+	if lenient == strict || t.isStray() || t.exceedsCap(1) || now < t.step.nextOverdueAt[lenient] {
 		return nil
 	}
 	var best *candidate
--- a/dispatch/serviceload.go
+++ b/dispatch/serviceload.go
@@ -38,7 +38,7 @@
 		if !ok {
 			continue
 		}
-		n := int64(len(st.waiting))
+		n := int64(len(st.uncapped()))
 		if st.spec.BestEffort {
 			l.SpareMilliCPU -= n * st.spec.Size.MilliCPU
 		} else {
--- a/dispatch/stray.go
+++ b/dispatch/stray.go
@@ -54,7 +54,7 @@
 // it takes capacity.
 func (c *Core) stopStray(e *executor, status provider.RunStatus) {
 	if spec := c.heldStep(status.Task); spec != nil {
-		e.unexpected = e.unexpected.Add(reservation(spec))
+		e.addUnexpected(spec, c.tenantOfTask(status.Task))
 		return
 	}
 	if t := c.findTask(status.Task); t != nil {
@@ -73,8 +73,21 @@
 	c.events = append(c.events, Event{Kind: "stray", Task: status.Task, Run: status.Run, Executor: e.info.ID, Detail: c.describeExpected(status.Task)})
 }
 
+// addUnexpected counts a run of a step that this owner does not expect.
+func (e *executor) addUnexpected(spec *submission.Step, tn *tenant) {
+	e.unexpected = e.unexpected.Add(reservation(spec))
+	if tn == nil {
+		return
+	}
+	if e.strayUse == nil {
+		e.strayUse = map[*tenant]fleet.Resources{}
+	}
+	e.strayUse[tn] = e.strayUse[tn].Add(spec.Size)
+	tn.account(spec.Size, 1)
+}
+
 func (e *executor) addStray(s stray) {
-	e.unexpected = e.unexpected.Add(reservation(s.task.step.spec))
+	e.addUnexpected(s.task.step.spec, s.task.step.job.tenant)
 	e.strays = append(e.strays, s)
 	s.task.strays = append(s.task.strays, e)
 }
@@ -100,6 +113,10 @@
 		s.task.strays = slices.DeleteFunc(s.task.strays, func(other *executor) bool { return other == e })
 	}
 	e.strays = nil
+	for tn, use := range e.strayUse {
+		tn.account(use, -1)
+	}
+	clear(e.strayUse)
 	e.unexpected, e.hasUnknownRun = fleet.Resources{}, false
 }
 
--- a/dispatch/trial.go
+++ b/dispatch/trial.go
@@ -58,7 +58,7 @@
 	for _, cand := range candidates {
 		i := slices.IndexFunc(trials, func(t *task) bool {
 			_, reason := c.consider(t, cand, now)
-			return reason == notRefused
+			return reason == notRefused && !t.exceedsCap(1)
 		})
 		if i < 0 {
 			continue
