--- a/node/fuzz_test.go
+++ b/node/fuzz_test.go
@@ -11,7 +11,9 @@
 	"github.com/peridotlock/peridotlock/cell"
 	"github.com/peridotlock/peridotlock/dispatch"
 	"github.com/peridotlock/peridotlock/fleet"
+	"github.com/peridotlock/peridotlock/policy"
 	"github.com/peridotlock/peridotlock/provider"
+	"github.com/peridotlock/peridotlock/quota"
 	"github.com/peridotlock/peridotlock/submission"
 )
 
@@ -35,7 +37,9 @@
 	f.apply(record)
 	for i := range cells {
 		core := dispatch.New(dispatch.Options{FencingToken: 1 << 20, Lease: 5 * time.Second, MaxLease: 10 * time.Second, InheritedLease: 6 * time.Second, Started: f.now, Cells: cells})
-		f.owners = append(f.owners, &owner{n: n, cell: i, layout: layout, core: core})
+		o := &owner{n: n, cell: i, layout: layout, core: core}
+		o.caps.tenants = []policy.Tenant{{Name: "t", Cap: fleet.Resources{MilliCPU: 4000}}}
+		f.owners = append(f.owners, o)
 	}
 	return f
 }
@@ -80,10 +84,35 @@
 		f.n.submissions.ChooseCell(e.Submission)
 		f.n.submissions.ChooseOtherCell(e.Submission, 0)
 	}
+	f.checkShares()
 	f.n.submissions.Expired(0, f.now)
 	f.n.submissions.Expire(f.now)
 }
 
+// checkShares has the owners take over the shares of a tenant's cap as read, and decide on transfers.
+func (f *fuzzOwners) checkShares() {
+	sum := int64(0)
+	uses := f.n.submissions.Uses(f.now)
+	for _, o := range f.owners {
+		o.caps.unreadable = nil
+		o.restoreShares(f.now)
+		given := o.given(f.n.submissions.Shares())
+		own := max(0, quota.Shares("t", given)[o.cell]-o.lostShare("t"))
+		if cells, wanted := o.tenantCells("t", given, uses, quota.Demand{}); wanted {
+			for _, parts := range quota.Transfers(o.cell, cells) {
+				if parts < 0 {
+					f.t.Fatalf("cell %d gives %d parts", o.cell, parts)
+				}
+			}
+		}
+		sum += own
+	}
+	// The owners have no writer: a foreign record may state what no owner would have given.
+	if sum > int64(len(f.owners))*quota.Whole {
+		f.t.Fatalf("shares add up to %d", sum)
+	}
+}
+
 // FuzzSubmissionRecords checks that no records of the submissions end a VM, and that a later good
 // submission is taken up and placed.
 func FuzzSubmissionRecords(f *testing.F) {
@@ -102,7 +131,11 @@
 	returned := add(cell.ReturnRecord(id, 1, []cell.Loan{{Index: 1, Run: 3, Crashes: 3, Suspicion: 0.999}}))
 	load := add(cell.LoadRecord(1, cell.Load{Free: fleet.Resources{MilliCPU: 1 << 62}, Gaps: []cell.Gap{{Service: "s", Size: fleet.Resources{MilliCPU: 8000, MemoryMB: 8000}}}}))
 	layout := add(cell.LayoutRecord(cell.Layout{Cells: -1}))
-	for _, r := range []provider.KeyedRecord{odd, loan, oddLoan, returned, load, layout, cell.MoveRecord(id, 1), cell.MoveRecord(id, 9), cell.StateRecord(id, 200), cell.CancelRecord(id)} {
+	shares := add(cell.SharesRecord(0, quota.Given{"t": {1: 1000}}))
+	oddShares := add(cell.SharesRecord(1, quota.Given{"t": {1: -1, 300: 1 << 60}}))
+	use := add(cell.UseRecord(1, map[string]quota.Demand{"t": {Used: 10, Next: 1 << 19, Need: 1 << 20}}))
+	oddUse := add(cell.UseRecord(0, map[string]quota.Demand{"t": {Used: 10, Next: -1, Need: 1 << 62}}))
+	for _, r := range []provider.KeyedRecord{shares, oddShares, use, oddUse, odd, loan, oddLoan, returned, load, layout, cell.MoveRecord(id, 1), cell.MoveRecord(id, 9), cell.StateRecord(id, 200), cell.CancelRecord(id)} {
 		f.Add(accepted.Key, accepted.Value, r.Key, r.Value)
 		f.Add(r.Key, r.Value, accepted.Key, accepted.Value)
 	}
