Let shares of rounded parts hold a cap that is a multiple of a task's size

With 2^20 parts rounded down, cells that use 2 and need 4 of 6 tasks lacked one part, and the last task waited for as long as both ran (TestTenantCapAcrossCells, cut-off owner: 5 of 6 tasks after 15 s). Parts are 2^24, and an amount is counted as if its share were larger by one.

node: tests of two owners with one cut off, of a transfer whose owner never came back, of an unreadable record, and of no records without caps: pass with -race.

--- a/quota/quota.go
+++ b/quota/quota.go
@@ -19,13 +19,13 @@
 )
 
 // Whole is the share of a cell that has all of a tenant's cap.
-const Whole = 1 << 20
+const Whole = 1 << 24
 
 // Unlimited is the amount of a resource that a cap does not limit.
 const Unlimited = math.MaxInt64 / 4
 
 // maxGiven bounds a counter of a record; sums of counters don't overflow.
-const maxGiven = 1 << 50
+const maxGiven = 1 << 54
 
 // InitialShare returns the share of a cell before any transfer. Those of all cells add up to Whole.
 func InitialShare(cell, cells int) int64 {
@@ -125,8 +125,13 @@
 	return out
 }
 
-// Amount returns the part of a cap that belongs to a share, rounded down.
+// Amount returns the part of a cap that belongs to a share, as if it were larger by one: shares that are
+// rounded would not hold a cap that is a multiple of a task's size. The amounts of n cells exceed the
+// cap by at most n/Whole of it, and not at all by whole units if that is less than one.
 func Amount(share int64, limit fleet.Resources) fleet.Resources {
+	if share > 0 {
+		share = min(share+1, Whole)
+	}
 	of := func(limit int64) int64 {
 		if limit <= 0 {
 			return Unlimited
@@ -150,7 +155,7 @@
 		if rest > 0 {
 			share++
 		}
-		return int64(min(maxShareFor, share))
+		return max(1, min(maxShareFor, int64(share)-1)) // see Amount
 	}
 	return max(of(used.MilliCPU, limit.MilliCPU), of(used.MemoryMB, limit.MemoryMB), of(used.Accelerators, limit.Accelerators))
 }
