Give what is missing of a cap from one cell, and part of what nobody needs along

What is missing now comes from the cells that can spare the most, and half of what nobody needs goes along. A cell asks again at once if it needs more than it has published. go test ./quota, TestTenantCap* pass.

--- a/dispatch/tenant.go
+++ b/dispatch/tenant.go
@@ -31,6 +31,7 @@
 	cappedSince time.Duration // since when all plans have refused it some task for its cap; 0 for none
 	isCapped    bool          // the newest plan did
 	loggedAt    time.Duration // time of the newest line about that; 0 for none
+	probeAfter  time.Duration // earliest time of the next search for an executor by TenantUses
 }
 
 // maxRestartHold is the time for which a long-running task that fits nowhere keeps a part of its tenant's cap
@@ -237,8 +238,12 @@
 	Demand  quota.Demand
 }
 
-// maxCapProbes is the maximum number of steps of a tenant for which TenantUses looks for an executor.
-const maxCapProbes = 4
+const (
+	// maxCapProbes is the maximum number of steps of a tenant for which TenantUses looks for an executor.
+	maxCapProbes = 4
+	// capProbeDelay is the pause after none of them had one.
+	capProbeDelay = 500 * time.Millisecond
+)
 
 // TenantUses returns the use of all tenants with a cap. Tasks count as needs only if the
 // cell has room for them: a full cell would hoard shares that others can use.
@@ -263,13 +268,15 @@
 		}
 		use := out[tn.name]
 		use.Waiting = use.Waiting.Add(multiply(st.spec.Size, len(capped)))
-		if use.Demand.Next == use.Demand.Used && probes[tn] < maxCapProbes {
+		if use.Demand.Next == use.Demand.Used && probes[tn] < maxCapProbes && now >= tn.probeAfter {
 			probes[tn]++
 			if candidates == nil {
 				candidates, free = c.roomForCapped(now)
 			}
 			if c.hasCandidate(capped[0], candidates, now) {
 				use.Demand.Next = tn.nextShare(capped[0])
+			} else if probes[tn] == maxCapProbes {
+				tn.probeAfter = now + capProbeDelay
 			}
 		}
 		out[tn.name] = use
--- a/node/tenantcaps.go
+++ b/node/tenantcaps.go
@@ -15,7 +15,9 @@
 const (
 	// capInterval is the time between two decisions about shares of tenants' caps. A tenant under its cap waits
 	// for one here, one in another cell, and two records, and the platform wants a task to run within 3 s.
-	capInterval = 200 * time.Millisecond
+	capInterval = 100 * time.Millisecond
+	// minUseInterval is the minimum time between two records of a cell's use.
+	minUseInterval = 200 * time.Millisecond
 	// sharesRestoreInterval is the time for which a stored record of transfers may not be read
 	// before it is stored again.
 	sharesRestoreInterval = 2 * time.Second
@@ -134,9 +136,9 @@
 			demands[tenant] = d
 		}
 		before := o.caps.published[tenant]
-		urgent = urgent || d.Need > d.Used && before.Need == before.Used
+		urgent = urgent || d.Need > d.Used && (before.Need == before.Used || d.Next > before.Need)
 	}
-	if !urgent && (now-o.caps.publishedAt < loadInterval || len(demands) == 0 && len(o.caps.published) == 0) {
+	if age := now - o.caps.publishedAt; age < minUseInterval || !urgent && (age < loadInterval || len(demands) == 0 && len(o.caps.published) == 0) {
 		return
 	}
 	record, err := cell.UseRecord(o.cell, demands)
--- a/quota/transfer.go
+++ b/quota/transfer.go
@@ -32,46 +32,63 @@
 //
 // It answers demand that appears in one cell while the cap lies idle in others, a cap so small that its parts
 // are useless until they lie together, and a tenant at its cap whose work in one cell would
-// refill what ends there and keep that in another waiting. Givers share a transfer in
-// proportion to what they can spare. All owners compute the same from the same records;
-// where these are behind, a cell gets too much for a while, from parts that nobody needs.
+// refill what ends there and keep that in another waiting.
+//
+// All owners compute the same from the same records. What is missing comes from the cells that can
+// spare the most. Half of what nobody needs goes along, from all cells in proportion: more work is likely to
+// follow where some has come, and it doesn't wait for one giver. Where records are behind, a cell
+// gets too much for a while, from parts that nobody needs.
 func Transfers(self int, cells []Cell) []int64 {
 	if cells[self].Share <= cells[self].Demand.Used {
 		return nil
 	}
-	target := allocate(cells)
-	spare, missing := int64(0), int64(0)
-	short := make([]int64, len(cells))
+	target, unneeded := allocate(cells)
+	spare, short := make([]int64, len(cells)), make([]int64, len(cells))
+	var givers []int
+	all, receivers := int64(0), int64(0)
 	for i, c := range cells {
-		if !c.Reachable {
-			continue
-		}
-		spare += max(0, c.Share-target[i])
-		if i != self && c.gains(target[i]) {
+		switch {
+		case !c.Reachable:
+		case i != self && c.gains(target[i]):
 			short[i] = target[i] - c.Share
-			missing += short[i]
+			receivers++
+		case c.Share > target[i]:
+			spare[i] = c.Share - target[i]
+			givers = append(givers, i)
+			all += spare[i]
 		}
 	}
-	left := cells[self].Share - target[self]
-	if left <= 0 || missing == 0 {
+	if spare[self] == 0 || receivers == 0 {
 		return nil
 	}
-	own, all := float64(left), float64(max(spare, missing))
-	var out []int64
+	slices.SortStableFunc(givers, func(x, y int) int { return cmp.Compare(spare[y], spare[x]) })
+	extra := unneeded / 2 / receivers
+	out := make([]int64, len(cells))
+	left := spare[self]
 	for i, n := range short {
-		part := min(left, int64(float64(n)*own/all)+1, n)
-		if n == 0 || part == 0 {
+		if n == 0 {
 			continue
 		}
-		if out == nil {
-			out = make([]int64, len(cells))
-		}
-		out[i] = part
-		left -= part
+		out[i] = min(left, max(ownPart(self, n, givers, spare), int64(float64(n+extra)*float64(cells[self].Share-target[self])/float64(all))))
+		left -= out[i]
 	}
 	return out
 }
 
+// ownPart returns which part of n comes from one of the givers, of which each gives what it can spare
+// before the next one does. It counts n as taken from spare.
+func ownPart(self int, n int64, givers []int, spare []int64) int64 {
+	for _, i := range givers {
+		part := min(n, spare[i])
+		spare[i] -= part
+		if i == self {
+			return part
+		}
+		n -= part
+	}
+	return 0
+}
+
 // gains reports whether a cell could start more tasks with a share than with its present one.
 // Other transfers would move parts to and fro without use.
 func (c Cell) gains(share int64) bool {
@@ -83,10 +100,10 @@
 }
 
 // allocate divides the shares of all cells: what each uses, then one task for each that wants to start
-// some, then the rest in equal parts up to the needs. A cell that can't be reached keeps its share.
-func allocate(cells []Cell) []int64 {
-	out := make([]int64, len(cells))
-	left := int64(0)
+// some, then the rest in equal parts up to the needs. A cell that can't be reached keeps its share. It also
+// returns what is left.
+func allocate(cells []Cell) (out []int64, left int64) {
+	out = make([]int64, len(cells))
 	var wanting []int
 	for i, c := range cells {
 		left += c.Share
@@ -119,7 +136,7 @@
 		out[i] += part
 		left -= part
 	}
-	return out
+	return out, max(0, left)
 }
 
 // compareBool orders false before true.
