--- a/cell/share.go
+++ b/cell/share.go
@@ -18,8 +18,8 @@
 	usePrefix    = "use/"    // followed by the cell whose use it is
 )
 
-// MaxSharesBytes bounds the record of a cell's transfers: over 4,000 pairs of a tenant and a cell.
-const MaxSharesBytes = 64 << 10
+// MaxSharesBytes bounds the record of a cell's transfers: over 10,000 pairs of a tenant and a cell.
+const MaxSharesBytes = 128 << 10
 
 // ErrTooManyTransfers is returned for transfers whose record would exceed MaxSharesBytes.
 var ErrTooManyTransfers = errors.New("record of transfers is too large")
--- a/node/tenantcaps.go
+++ b/node/tenantcaps.go
@@ -89,6 +89,7 @@
 		return
 	}
 	o.caps.configVersion, o.caps.tenants, o.caps.applied = c.Version, nil, false
+	o.caps.unregister(o.n.set) // of tenants that were removed
 	for _, t := range c.Tenants {
 		if quota.IsLimited(t.Cap) {
 			o.caps.tenants = append(o.caps.tenants, t)
@@ -259,9 +260,10 @@
 	set.GetOrCreateGauge(name, nil).Set(float64(parts) / quota.Whole)
 }
 
-// unregister removes the gauges of a term that has ended.
+// unregister removes the gauges.
 func (c *tenantCaps) unregister(set *metrics.Set) {
 	for name := range c.gauges {
 		set.UnregisterMetric(name)
 	}
+	c.gauges = nil
 }
