Ask for parts of a cap only where room lasts, and give none that are not worth a record

A cell asks now if it has had room at two decisions in a row; parts below 1/8,192 that let no task start are kept. go test ./quota, TestTenantCap*, node tests of caps pass.

--- a/dispatch/tenant.go
+++ b/dispatch/tenant.go
@@ -32,6 +32,7 @@
 	isCapped    bool          // the newest plan did
 	loggedAt    time.Duration // time of the newest line about that; 0 for none
 	probeAfter  time.Duration // earliest time of the next search for an executor by TenantUses
+	hasRoom     bool          // the newest TenantUses found an executor for a task that waits for the cap
 }
 
 // maxRestartHold is the time for which a long-running task that fits nowhere keeps a part of its tenant's cap
@@ -246,7 +247,8 @@
 )
 
 // TenantUses returns the use of all tenants with a cap. Tasks count as needs only if the
-// cell has room for them: a full cell would hoard shares that others can use.
+// cell has had room for one of them at this call and the one before: a full cell would hoard shares
+// that others can use, and give them away again.
 func (c *Core) TenantUses(now time.Duration) map[string]TenantUse {
 	c.countRestarts(now)
 	out := map[string]TenantUse{}
@@ -257,7 +259,7 @@
 		used := quota.ShareFor(tn.used.Add(tn.restarting), tn.limit)
 		out[tn.name] = TenantUse{Used: tn.used, Demand: quota.Demand{Used: used, Next: used, Need: used}}
 	}
-	probes := map[*tenant]int{}
+	probes, hasRoom := map[*tenant]int{}, map[*tenant]bool{}
 	var candidates []*candidate // nil until it is needed
 	var free fleet.Resources
 	for _, st := range c.waiting {
@@ -268,13 +270,15 @@
 		}
 		use := out[tn.name]
 		use.Waiting = use.Waiting.Add(multiply(st.spec.Size, len(capped)))
-		if use.Demand.Next == use.Demand.Used && probes[tn] < maxCapProbes && now >= tn.probeAfter {
+		if !hasRoom[tn] && probes[tn] < maxCapProbes && now >= tn.probeAfter {
 			probes[tn]++
 			if candidates == nil {
 				candidates, free = c.roomForCapped(now)
 			}
-			if c.hasCandidate(capped[0], candidates, now) {
-				use.Demand.Next = tn.nextShare(capped[0])
+			if hasRoom[tn] = c.hasCandidate(capped[0], candidates, now); hasRoom[tn] {
+				if tn.hasRoom {
+					use.Demand.Next = tn.nextShare(capped[0])
+				}
 			} else if probes[tn] == maxCapProbes {
 				tn.probeAfter = now + capProbeDelay
 			}
@@ -282,6 +286,7 @@
 		out[tn.name] = use
 	}
 	for name, use := range out {
+		c.tenants[name].hasRoom = hasRoom[c.tenants[name]]
 		if d := &use.Demand; d.Next > d.Used {
 			tn := c.tenants[name]
 			need := fleet.Resources{MilliCPU: min(use.Waiting.MilliCPU, free.MilliCPU), MemoryMB: min(use.Waiting.MemoryMB, free.MemoryMB), Accelerators: min(use.Waiting.Accelerators, free.Accelerators)}
--- a/dispatch/tenant_test.go
+++ b/dispatch/tenant_test.go
@@ -113,6 +113,7 @@
 			sim.run(2 * time.Second)
 			So(sim.usedBy("large"), ShouldEqual, 18000)
 
+			sim.core.TenantUses(sim.now)
 			use := sim.core.TenantUses(sim.now)["small"]
 			So(use.Used.MilliCPU, ShouldEqual, 6000)
 			So(use.Waiting.MilliCPU, ShouldEqual, 44000)
@@ -177,6 +178,7 @@
 
 		Convey("it starts what the part allows and asks for the rest", func() {
 			So(sim.usedBy("small"), ShouldEqual, 2000)
+			sim.core.TenantUses(sim.now)
 			d := sim.core.TenantUses(sim.now)["small"].Demand
 			So(d.Used, ShouldEqual, share(2000))
 			So(d.Next, ShouldEqual, share(3000))
--- a/quota/transfer.go
+++ b/quota/transfer.go
@@ -69,12 +69,19 @@
 		if n == 0 {
 			continue
 		}
+		unit := cells[i].Demand.Next - cells[i].Demand.Used
 		out[i] = min(left, max(ownPart(self, n, givers, spare), int64(float64(n+extra)*float64(cells[self].Share-target[self])/float64(all))))
+		if out[i] < min(minPart, unit) {
+			out[i] = 0
+		}
 		left -= out[i]
 	}
 	return out
 }
 
+// minPart is the least part that is worth a record, unless a task needs no more.
+const minPart = Whole >> 13
+
 // ownPart returns which part of n comes from one of the givers, of which each gives what it can spare
 // before the next one does. It counts n as taken from spare.
 func ownPart(self int, n int64, givers []int, spare []int64) int64 {
