Let small parts of a cap be gathered where nothing else covers what is missing

A giver with less than 1/8,192 kept it although a task larger than the cap needs all parts. TestTransfers has the case.

--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -82,6 +82,16 @@
 		}
 		So(Transfers(0, cells), ShouldResemble, []int64{0, task})
 	})
+	Convey("All of the cap can be gathered for a task that is larger, also from small parts", t, func() {
+		cells := []Cell{idle(100), {Share: Whole - 3100, Demand: Demand{Next: Whole, Need: Whole}, Reachable: true}, idle(3000)}
+		for _, giver := range []int{2, 0} {
+			out := Transfers(giver, cells)
+			So(out, ShouldNotBeNil)
+			cells[giver].Share -= out[1]
+			cells[1].Share += out[1]
+		}
+		So(cells[1].Share, ShouldEqual, Whole)
+	})
 	Convey("A cell that runs more than its share gives nothing, and one that can't be reached gets nothing", t, func() {
 		wanting := Demand{Next: 100, Need: 100}
 		So(Transfers(0, []Cell{{Share: 10, Demand: Demand{Used: 50, Next: 50, Need: 50}, Reachable: true}, {Demand: wanting, Reachable: true}}), ShouldBeNil)
--- a/quota/transfer.go
+++ b/quota/transfer.go
@@ -45,12 +45,13 @@
 	target, unneeded := allocate(cells)
 	spare, short := make([]int64, len(cells)), make([]int64, len(cells))
 	var givers []int
-	all, receivers := int64(0), int64(0)
+	all, missing, receivers := int64(0), int64(0), int64(0)
 	for i, c := range cells {
 		switch {
 		case !c.Reachable:
 		case i != self && c.gains(target[i]):
 			short[i] = target[i] - c.Share
+			missing += short[i]
 			receivers++
 		case c.Share > target[i]:
 			spare[i] = c.Share - target[i]
@@ -64,14 +65,14 @@
 	slices.SortStableFunc(givers, func(x, y int) int { return cmp.Compare(spare[y], spare[x]) })
 	extra := unneeded / 2 / receivers
 	out := make([]int64, len(cells))
-	left := spare[self]
+	own := spare[self]
+	left := own
 	for i, n := range short {
 		if n == 0 {
 			continue
 		}
-		unit := cells[i].Demand.Next - cells[i].Demand.Used
-		out[i] = min(left, max(ownPart(self, n, givers, spare), int64(float64(n+extra)*float64(cells[self].Share-target[self])/float64(all))))
-		if out[i] < min(minPart, unit) {
+		out[i] = min(left, max(ownPart(self, n, givers, spare), int64(float64(n+extra)*float64(own)/float64(all))))
+		if out[i] < minPart && all-own >= missing {
 			out[i] = 0
 		}
 		left -= out[i]
@@ -79,7 +80,7 @@
 	return out
 }
 
-// minPart is the least part that is worth a record, unless a task needs no more.
+// minPart is the least part that is worth a record, while others can give what is missing.
 const minPart = Whole >> 13
 
 // ownPart returns which part of n comes from one of the givers, of which each gives what it can spare
