--- a/dispatch/tenant.go
+++ b/dispatch/tenant.go
@@ -222,16 +222,6 @@
 	return of(part.MilliCPU, "m") + "/" + of(part.MemoryMB, "MB") + "/" + of(part.Accelerators, "acc")
 }
 
-// HasCapWaits reports whether tasks waited for their tenant's cap at the newest plan.
-func (c *Core) HasCapWaits() bool {
-	for _, tn := range c.tenants {
-		if tn.isCapped {
-			return true
-		}
-	}
-	return false
-}
-
 // TenantUse is what a tenant with a cap uses of this cell.
 type TenantUse struct {
 	Used    fleet.Resources // by runs
--- a/node/tenantcaps.go
+++ b/node/tenantcaps.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -18,6 +19,9 @@
 	capInterval = 100 * time.Millisecond
 	// minUseInterval is the minimum time between two records of a cell's use.
 	minUseInterval = 200 * time.Millisecond
+	// useRepeatInterval is the time after which a record of a cell's use is stored again without a change:
+	// another writer may have replaced it.
+	useRepeatInterval = 5 * time.Second
 	// sharesRestoreInterval is the time for which a stored record of transfers may not be read
 	// before it is stored again.
 	sharesRestoreInterval = 2 * time.Second
@@ -139,7 +143,9 @@
 		before := o.caps.published[tenant]
 		urgent = urgent || d.Need > d.Used && (before.Need == before.Used || d.Next > before.Need)
 	}
-	if age := now - o.caps.publishedAt; age < minUseInterval || !urgent && (age < loadInterval || len(demands) == 0 && len(o.caps.published) == 0) {
+	age := now - o.caps.publishedAt
+	isRepeat := maps.Equal(demands, o.caps.published) && (len(demands) == 0 || age < useRepeatInterval)
+	if age < minUseInterval || isRepeat || !urgent && age < loadInterval {
 		return
 	}
 	record, err := cell.UseRecord(o.cell, demands)
--- a/quota/transfer.go
+++ b/quota/transfer.go
@@ -15,7 +15,7 @@
 
 // IsPossible reports whether an owner may have published d.
 func (d Demand) IsPossible() bool {
-	return d.Used >= 0 && d.Used <= d.Next && d.Next <= d.Need && d.Need <= maxShareFor
+	return d.Used >= 0 && d.Used <= d.Next && d.Next <= d.Need && d.Need <= 4*maxShareFor // with what an owner adds
 }
 
 // wants reports whether tasks wait for the tenant's cap.
