--- a/node/tenants_test.go
+++ b/node/tenants_test.go
@@ -21,9 +21,9 @@
 	return strings.Replace(configV1, `"version":1`, fmt.Sprintf(`"version":%d,"tenants":[%s]`, version, tenants), 1)
 }
 
-// statusWithKey sends a request about id1 with an API key, and returns the status.
-func (v *vm) statusWithKey(client *http.Client, method, key, body string) int {
-	req, err := http.NewRequest(method, "http://"+v.callers+"/q/"+id1, strings.NewReader(body))
+// callWithKey sends a request with an API key, and returns the status.
+func (v *vm) callWithKey(client *http.Client, method, path, key, body string) int {
+	req, err := http.NewRequest(method, "http://"+v.callers+path, strings.NewReader(body))
 	So(err, ShouldBeNil)
 	req.Host = "h.example"
 	req.Header.Set("X-Api-Key", key)
@@ -46,13 +46,13 @@
 		client := &http.Client{Transport: &http.Transport{MaxConnsPerHost: 1}}
 		defer client.CloseIdleConnections()
 		So(eventually(func() bool {
-			return a.statusWithKey(client, "POST", "k1", longRunningSubmission) == 200
+			return a.callWithKey(client, "POST", "/q/"+id1, "k1", longRunningSubmission) == 200
 		}), ShouldBeTrue)
 		So(eventually(func() bool { return c.running() == 4 }), ShouldBeTrue)
 		all := func(key string, status int) func() bool {
 			return func() bool {
 				for _, v := range c.vms {
-					if v.statusWithKey(client, "GET", key, "") != status {
+					if v.callWithKey(client, "GET", "/q/"+id1, key, "") != status {
 						return false
 					}
 				}
@@ -67,7 +67,7 @@
 			c.store.Put("op", "config", tenantsConfig(3, `{"name":"a","apiKeys":["k2"]},{"name":"a","apiKeys":["k1"]}`))
 			So(eventually(all("k2", 200)), ShouldBeTrue)
 			So(all("k1", http.StatusUnauthorized)(), ShouldBeTrue)
-			So(a.statusWithKey(client, "DELETE", "k1", ""), ShouldEqual, http.StatusUnauthorized)
+			So(a.callWithKey(client, "DELETE", "/q/"+id1, "k1", ""), ShouldEqual, http.StatusUnauthorized)
 			So(c.running(), ShouldEqual, 4)
 		})
 		Convey("the work of a tenant that is removed goes on, and its keys are refused", func() {
