--- a/node/confirm.go
+++ b/node/confirm.go
@@ -22,9 +22,10 @@
 	mu          sync.Mutex
 	fence       int64 // fencing token; 0 before the claim is stored
 	confirmedAt time.Duration
-	unlisted    bool // the newest join does not list the cell
-	wasUnlisted bool // a join in the term did not list the cell
-	confirming  bool // a read of the newest claim is under way
+	unlisted    bool          // the newest join does not list the cell
+	wasUnlisted bool          // a join in the term did not list the cell
+	confirming  bool          // a read of the newest claim is under way
+	retiredAt   time.Duration // boot time of the VM's decision to stop; 0 before
 }
 
 // begin records that the claim of the term, which began at a time, is stored.
@@ -72,6 +73,20 @@
 	return !t.wasUnlisted || now-t.confirmedAt < ownerStoreTimeout
 }
 
+// retire records that the VM is about to leave the group and to stop.
+func (t *term) retire(now time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.retiredAt, t.unlisted, t.wasUnlisted = now, true, true
+}
+
+// retirement returns when the VM decided to stop, or 0, and when the term was last confirmed.
+func (t *term) retirement() (retiredAt, confirmedAt time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.retiredAt, t.confirmedAt
+}
+
 // isClaimed reports whether the claim of the term is stored.
 func (t *term) isClaimed() bool {
 	t.mu.Lock()
