Claim at most four cells after a join

Cause: since VMs join once they have read the submissions, the first one that is ready after a power failure is assigned all cells. Layouts with more cells would load it with all of them at once.

--- a/node/retire_test.go
+++ b/node/retire_test.go
@@ -138,3 +138,16 @@
 		<-done
 	})
 }
+
+// After a power failure the first VM that had read the submissions was assigned all cells.
+func TestClaimsPerJoin(t *testing.T) {
+	Convey("A member claims a few cells at a time, not those that it has or that are held back", t, func() {
+		m := newMember(New(config.VM{Name: "vm-1", Log: "127.0.0.1:1"}, logr.Discard()))
+		So(m.claimable([]int{2, 0, 1}), ShouldResemble, []int{0, 1, 2})
+		So(m.claimable([]int{7, 5, 3, 6, 2, 0, 1, 4}), ShouldResemble, []int{0, 1, 2, 3})
+		m.owned[0], m.owned[2] = &ownership{}, &ownership{}
+		m.holdBack(1)
+		So(m.claimable([]int{7, 5, 3, 6, 2, 0, 1, 4}), ShouldResemble, []int{3, 4, 5, 6})
+		So(m.claimable([]int{0, 1, 2}), ShouldBeEmpty)
+	})
+}
