--- a/groupcommit/groupcommit.go
+++ b/groupcommit/groupcommit.go
@@ -65,7 +65,7 @@
 
 // NoticeArgs are the arguments of Service.Notice.
 type NoticeArgs struct {
-	AppendMs int64 // duration of a slow append so far
+	AppendMs int64 // duration of a slow append so far; 0 only asks for an answer
 }
 
 // NoticeReply is the reply of Service.Notice.
--- a/groupcommit/log.go
+++ b/groupcommit/log.go
@@ -12,6 +12,7 @@
 
 	"github.com/peridotlock/peridotlock/boottime"
 	"github.com/peridotlock/peridotlock/internal/crash"
+	"github.com/peridotlock/peridotlock/internal/pause"
 	"github.com/peridotlock/peridotlock/provider"
 	"github.com/peridotlock/peridotlock/wire"
 )
@@ -63,7 +64,7 @@
 		failed: opts.Metrics.NewCounter("peridotlock_group_commit_failures_total"),
 	}
 	opts.Metrics.NewGauge("peridotlock_group_commit_active", func() float64 {
-		if _, active := l.committer(); active {
+		if l.IsActive() {
 			return 1
 		}
 		return 0
@@ -71,6 +72,12 @@
 	return l
 }
 
+// IsActive reports whether appends go through a committer now.
+func (l *Log) IsActive() bool {
+	_, active := l.committer()
+	return active
+}
+
 // SetPeers replaces the known VMs, this one included.
 func (l *Log) SetPeers(peers []Peer) {
 	l.mu.Lock()
@@ -180,11 +187,12 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		args.Timeout = time.Until(deadline)
 	}
-	late := time.AfterFunc(patience, func() { l.handleFailure(p, "no answer in time") })
-	defer late.Stop()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	crash.Go(func() { l.watchCommitter(ctx, p, cancel) }, "subject", "committer", "key", p.Name)
 	var reply StoreReply
 	if err := l.opts.Pool.Client(p.Address).Call(ctx, ServiceName+".Store", args, &reply); err != nil {
-		if !errors.Is(ctx.Err(), context.Canceled) { // another attempt was answered
+		if ctx.Err() == nil || errors.Is(context.Cause(ctx), errSilent) {
 			l.handleFailure(p, err.Error())
 		}
 		if errors.Is(err, wire.ErrNotSent) {
@@ -192,7 +200,6 @@
 		}
 		return fmt.Errorf("%w: committer %s: %w", provider.ErrInDoubt, p.Name, err)
 	}
-	late.Stop()
 	l.mu.Lock()
 	l.route.handleAnswer(p.Name)
 	l.mu.Unlock()
@@ -212,6 +219,21 @@
 	return slowRepeatDelay
 }
 
+// errSilent means that a committer answers nothing at all.
+var errSilent = errors.New("committer is silent")
+
+// watchCommitter cancels a call to a committer that turns out to be silent.
+func (l *Log) watchCommitter(ctx context.Context, p Peer, cancel context.CancelCauseFunc) {
+	for pause.For(ctx, pingAfter) == nil {
+		ping, stop := context.WithTimeout(ctx, pingTimeout)
+		err := l.opts.Pool.Client(p.Address).Call(ping, ServiceName+".Notice", NoticeArgs{}, &NoticeReply{})
+		stop()
+		if err != nil && ctx.Err() == nil {
+			cancel(errSilent)
+		}
+	}
+}
+
 func (l *Log) handleFailure(p Peer, reason string) {
 	l.failed.Inc()
 	l.mu.Lock()
--- a/groupcommit/route.go
+++ b/groupcommit/route.go
@@ -19,9 +19,11 @@
 	// appends in a row after which VMs append for themselves again.
 	fastAppend  = 70 * time.Millisecond
 	fastAppends = 3
-	// patience is the time after which another committer is asked as well. A log that refuses what
-	// would wait for over 2 s can take that long, and a caller's time has room for one more attempt.
-	patience = 1600 * time.Millisecond
+	// pingAfter is the time without an answer from a committer after which it is asked whether it is
+	// alive, and pingTimeout the time for that answer. A log that refuses what would wait for over 2 s
+	// can keep a committer that long.
+	pingAfter   = 400 * time.Millisecond
+	pingTimeout = 400 * time.Millisecond
 	// A committer that does not answer is asked again after minPause, which doubles with each
 	// failure in a row.
 	minPause = time.Second
@@ -43,12 +45,12 @@
 type route struct {
 	self   string
 	ranked []Peer // those with most cores first
-	paused map[string]pause
+	paused map[string]committerPause
 	slow   bool
 	fast   int // appends below fastAppend in a row
 }
 
-type pause struct {
+type committerPause struct {
 	until    time.Duration
 	failures int // in a row
 }
@@ -97,10 +99,10 @@
 // handleFailure excludes a committer that did not answer for a time.
 func (r *route) handleFailure(name string, now time.Duration) {
 	if r.paused == nil {
-		r.paused = map[string]pause{}
+		r.paused = map[string]committerPause{}
 	}
 	n := r.paused[name].failures
-	r.paused[name] = pause{until: now + min(maxPause, minPause<<min(n, 8)), failures: n + 1}
+	r.paused[name] = committerPause{until: now + min(maxPause, minPause<<min(n, 8)), failures: n + 1}
 }
 
 func (r *route) handleAnswer(name string) { delete(r.paused, name) }
--- a/intake/appender.go
+++ b/intake/appender.go
@@ -15,10 +15,16 @@
 // is safe for concurrent use.
 type Appender struct{ batcher *batcher }
 
+// overlapAge is the age of an append from which records that have arrived meanwhile don't wait for its
+// end. It exceeds an append and its answer at a store that is 75 times as slow as usual: the log has
+// more to do, and the next append can wait there beside it.
+const overlapAge = 500 * time.Millisecond
+
 // NewAppender returns an Appender for a partition. MinRepeatDelay returns the least time after which
 // an append without an answer is repeated.
 func NewAppender(log provider.KeyedLog, p provider.Partition, minRepeatDelay func() time.Duration) *Appender {
-	return &Appender{&batcher{log: log, partition: p, took: &atomic.Int64{}, minRepeatDelay: minRepeatDelay}}
+	return &Appender{&batcher{log: log, partition: p, took: &atomic.Int64{}, minRepeatDelay: minRepeatDelay,
+		mayOverlap: func(age time.Duration) bool { return age >= overlapAge }, maxOverlap: 2}}
 }
 
 // Store stores records and returns an error for each, nil if it was stored. An error wraps
