Count transfers that another writer stores in a cell's name as given

The receivers count them, so the owner must too; before, its own transfers also stopped, as the record read never equalled its own. TestTransferOfFrozenOwner has the case; node tests of caps and fuzz seeds pass with -race.

--- a/node/tenantcaps.go
+++ b/node/tenantcaps.go
@@ -118,6 +118,7 @@
 // applyShares passes this cell's shares to the core.
 func (o *owner) applyShares() {
 	read := o.n.submissions.Shares()
+	o.caps.given = o.caps.given.Merge(read.Given[o.cell]) // others count what another writer has stored there
 	given := o.given(read)
 	shares := map[string]int64{}
 	for _, t := range o.caps.tenants {
