--- a/dispatch/overdue.go
+++ b/dispatch/overdue.go
@@ -267,7 +267,7 @@
 		score, r = c.model.ScoreOverdue(task, reservation(spec), &cand.host, lenient == allowOvercommit)
 		reason = refusalOf(r)
 	} else {
-		score, reason = c.score(spec, cand)
+		score, reason = c.score(t.step, cand)
 	}
 	if reason != notRefused {
 		return 0, reason
