Choose cells by the room that is of use to a submission's tasks

Handovers also compared capacity that only best-effort tasks can use.

Change: a load tells the room for 13 sizes of tasks, in whole tasks on each executor; the choice of a cell and handovers use it. Loads without it count as before.

TestRoomInPieces replays it.

--- a/cell/serviceload.go
+++ b/cell/serviceload.go
@@ -20,10 +20,51 @@
 	Used          fleet.Resources `cbor:"4,keyasint"`           // reserved by runs there
 	Free          fleet.Resources `cbor:"5,keyasint"`           // as in Load
 	SpareMilliCPU int64           `cbor:"6,keyasint"`           // as in Load
+	// Room is the part of Free.MilliCPU that is of use to tasks of each of RoomSizes: whole multiples of
+	// the size on each executor, minus the demand of waiting tasks. It is empty in loads of earlier versions.
+	Room []int64 `cbor:"7,keyasint,omitempty"`
+}
+
+// RoomSizes are the sizes of tasks, in millicores, for which cells publish their room.
+//
+// They answer a cell that long-running tasks fill, so that each executor has a little left: it publishes as much free
+// capacity as another cell with whole executors free, and has room for none of the tasks that wait.
+var RoomSizes = [...]int64{1000, 1500, 2000, 3000, 4000, 6000, 8000, 12_000, 16_000, 24_000, 32_000, 48_000, 64_000}
+
+// AddRoom adds the room of an executor to that of its service.
+func AddRoom(room []int64, freeMilliCPU int64) []int64 {
+	if room == nil {
+		room = make([]int64, len(RoomSizes))
+	}
+	for i, size := range RoomSizes {
+		room[i] += max(0, freeMilliCPU) / size * size
+	}
+	return room
+}
+
+// roomFor returns the free millicores that are of use to tasks of a size.
+func (l ServiceLoad) roomFor(milliCPU int64) int64 {
+	if len(l.Room) != len(RoomSizes) || milliCPU <= 0 {
+		return l.Free.MilliCPU
+	}
+	i, _ := slices.BinarySearch(RoomSizes[:], milliCPU)
+	return min(l.Free.MilliCPU, l.Room[min(i, len(RoomSizes)-1)])
+}
+
+// largestTask returns the millicores of the largest task of a submission that reserves any.
+func largestTask(s submission.Submission) int64 {
+	largest := int64(0)
+	for _, step := range s.Steps {
+		if !step.BestEffort {
+			largest = max(largest, step.Size.MilliCPU)
+		}
+	}
+	return largest
 }
 
 func (l ServiceLoad) isPossible() bool {
-	return isCellAmount(l.Size) && isCellAmount(l.Used) && isCellAmount(l.Free) && isCellAmount(fleet.Resources{MilliCPU: l.SpareMilliCPU})
+	return isCellAmount(l.Size) && isCellAmount(l.Used) && isCellAmount(l.Free) && isCellAmount(fleet.Resources{MilliCPU: l.SpareMilliCPU}) &&
+		!slices.ContainsFunc(l.Room, func(room int64) bool { return !isCellAmount(fleet.Resources{MilliCPU: room}) })
 }
 
 // of returns the load of a cell's executors of a service, and false if it has none. A load without
--- a/cell/serviceload_test.go
+++ b/cell/serviceload_test.go
@@ -71,3 +71,70 @@
 		So(NewReplica().Apply(record, 0), ShouldNotBeNil)
 	})
 }
+
+// TestRoomInPieces replays a cell that long-running tasks have filled up to a few cores on each executor, beside one with
+// less that is free in whole executors.
+func TestRoomInPieces(t *testing.T) {
+	Convey("Given a full cell, one with 400 cores free in pieces of 3, and one with 192 free in whole executors", t, func() {
+		replica := NewReplica()
+		layout, err := LayoutRecord(Layout{Cells: 3})
+		So(err, ShouldBeNil)
+		So(replica.Apply(layout, 0), ShouldBeNil)
+		memory := int64(1e9)
+		publish := func(cell int, l ServiceLoad) error {
+			l.Service = "s"
+			record, err := LoadRecord(cell, Load{Free: l.Free, Services: []ServiceLoad{l}})
+			So(err, ShouldBeNil)
+			return replica.Apply(record, time.Second)
+		}
+		pieces := ServiceLoad{Free: fleet.Resources{MilliCPU: 399_000, MemoryMB: memory}, SpareMilliCPU: 3_000_000}
+		for range 133 {
+			pieces.Room = AddRoom(pieces.Room, 3000)
+		}
+		whole := ServiceLoad{Free: fleet.Resources{MilliCPU: 192_000, MemoryMB: memory}}
+		for range 3 {
+			whole.Room = AddRoom(whole.Room, 64_000)
+		}
+		So(publish(0, ServiceLoad{Room: AddRoom(nil, 0)}), ShouldBeNil)
+		So(publish(1, pieces), ShouldBeNil)
+		So(publish(2, whole), ShouldBeNil)
+		work := func(count int, milliCPU int64) submission.Submission {
+			return submission.Submission{Service: "s", Steps: []submission.Step{{Count: count, Size: fleet.Resources{MilliCPU: milliCPU, MemoryMB: 1}}}}
+		}
+
+		Convey("tasks of 7.7 cores go to the whole executors", func() {
+			to, ok := replica.ChooseOtherCell(work(9, 7700), 0)
+			So(ok, ShouldBeTrue)
+			So(to, ShouldEqual, 2)
+			_, ok = replica.ChooseOtherCell(work(9, 7700), 2)
+			So(ok, ShouldBeFalse)
+			chosen := [3]int{}
+			for range 10_000 {
+				chosen[replica.ChooseCell(work(9, 7700))]++
+			}
+			So(chosen[2], ShouldBeGreaterThan, 9900)
+		})
+		Convey("small tasks go to where most is free", func() {
+			to, ok := replica.ChooseOtherCell(work(9, 900), 0)
+			So(ok, ShouldBeTrue)
+			So(to, ShouldEqual, 1)
+		})
+		Convey("demand that waits there counts as well", func() {
+			whole.Free.MilliCPU -= 150_000
+			So(publish(2, whole), ShouldBeNil)
+			_, ok := replica.ChooseOtherCell(work(9, 7700), 0)
+			So(ok, ShouldBeFalse)
+		})
+		Convey("a load of an earlier version or with other sizes counts as free, and one out of range is refused", func() {
+			for _, room := range [][]int64{nil, {1, 2}} {
+				pieces.Room = room
+				So(publish(1, pieces), ShouldBeNil)
+				to, ok := replica.ChooseOtherCell(work(9, 7700), 0)
+				So(ok, ShouldBeTrue)
+				So(to, ShouldEqual, 1)
+			}
+			pieces.Room = []int64{maxCellAmount + 1}
+			So(publish(1, pieces), ShouldNotBeNil)
+		})
+	})
+}
--- a/dispatch/serviceload.go
+++ b/dispatch/serviceload.go
@@ -9,6 +9,9 @@
 	"github.com/peridotlock/peridotlock/cell"
 )
 
+// Room is the room of a cell's executors for tasks of each of cell.RoomSizes, without waiting tasks.
+type Room [len(cell.RoomSizes)]int64
+
 // ServiceLoads returns the load of this cell for each service, sorted by name. Free and spare are those
 // of FreeCapacity, labels those of all listed executors.
 func (c *Core) ServiceLoads(now time.Duration) []cell.ServiceLoad {
@@ -28,11 +31,18 @@
 			l.Size, l.Used = l.Size.Add(h.Size), l.Used.Add(h.Reserved)
 			if c.acceptsWork(e, now) {
 				l.Free = l.Free.Add(h.Free())
+				l.Room = cell.AddRoom(l.Room, h.Free().MilliCPU)
 				l.SpareMilliCPU += max(0, h.SpareMilliCPU())
 			}
 		}
 		loads[e.info.Service] = l
 	}
+	c.room = Room{}
+	for _, l := range loads {
+		for i, room := range l.Room {
+			c.room[i] += room
+		}
+	}
 	for _, st := range c.waiting {
 		l, ok := loads[st.job.sub.Service]
 		if !ok {
@@ -44,6 +54,9 @@
 		} else {
 			l.Free.MilliCPU -= n * st.spec.Size.MilliCPU
 			l.Free.MemoryMB -= n * st.spec.Size.MemoryMB
+			for i := range l.Room {
+				l.Room[i] -= n * st.spec.Size.MilliCPU
+			}
 		}
 		loads[st.job.sub.Service] = l
 	}
--- a/dispatch/serviceload_test.go
+++ b/dispatch/serviceload_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -63,5 +64,15 @@
 		sum := loads[0].Free.Add(loads[1].Free)
 		So([]int64{sum.MilliCPU, sum.MemoryMB}, ShouldResemble, []int64{free.MilliCPU, free.MemoryMB})
 		So(loads[0].SpareMilliCPU+loads[1].SpareMilliCPU, ShouldEqual, spare)
+
+		Convey("and tell what is of use to tasks of a size, as executors leave less than all in pieces", func() {
+			i, _ := slices.BinarySearch(cell.RoomSizes[:], 4000)
+			rest := sim.core.executors["i-0"].info.Size.Sub(sim.core.executors["i-0"].reserved).MilliCPU / 4000 * 4000
+			So(loads[1].Room[i], ShouldEqual, rest-200)
+			for size, room := range loads[0].Room {
+				So(room, ShouldBeLessThanOrEqualTo, loads[0].Free.MilliCPU)
+				So(room%cell.RoomSizes[size], ShouldEqual, 0)
+			}
+		})
 	})
 }
