Mend what the review of group commit has found

Cause: a committer cut off from the log kept its peers' records; one lost answer in calm delayed repeats to 1.5 s; a cancelled call closed the connection of others; an old measurement could refuse callers for good; a committer's refusal came too late; an unknown result counted as not stored; small records exceeded the size of a request; a rejected record lost its 413.

--- a/groupcommit/groupcommit.go
+++ b/groupcommit/groupcommit.go
@@ -16,6 +16,7 @@
 	"fmt"
 	"time"
 
+	"github.com/peridotlock/peridotlock/boottime"
 	"github.com/peridotlock/peridotlock/internal/crash"
 	"github.com/peridotlock/peridotlock/provider"
 )
@@ -25,10 +26,12 @@
 
 // Appender appends records of several callers, those that wait in one call. Store returns an error
 // for each record, which wraps provider.ErrUnavailable or provider.ErrRejected if the record was
-// certainly not stored. Took is the duration of the newest append, 0 if none has ended.
+// certainly not stored.
 type Appender interface {
 	Store(ctx context.Context, records []provider.KeyedRecord) []error
-	Took() time.Duration
+	// Took returns the duration and the number of the newest append that was answered, 0 if there is
+	// none, and the boot time of its answer.
+	Took() (took time.Duration, number int64, answeredAt time.Duration)
 }
 
 // Result is what became of a record.
@@ -39,9 +42,14 @@
 	InDoubt Result = iota // it may have been stored, or may still be
 	Stored
 	NotStored // and never will be by this request
+	Rejected  // as NotStored: the log does not take it
 	results
 )
 
+// ErrNotStored is wrapped, beside provider.ErrUnavailable, by the error of records that a committer
+// has not stored and will not store.
+var ErrNotStored = errors.New("committer did not store the record in time")
+
 // StoreArgs are the arguments of Service.Store.
 type StoreArgs struct {
 	Records []provider.KeyedRecord
@@ -51,7 +59,11 @@
 // StoreReply is the reply of Service.Store.
 type StoreReply struct {
 	Results []Result
-	Took    time.Duration // of the committer's newest append
+	Took    time.Duration // of the committer's newest append that was answered
+	Number  int64         // of that append
+	// Silent is the time for which none of the committer's appends has been answered, since the
+	// request arrived at most.
+	Silent time.Duration
 }
 
 // maxTimeout bounds the time for which a record waits at a committer.
@@ -65,7 +77,9 @@
 
 // NoticeArgs are the arguments of Service.Notice.
 type NoticeArgs struct {
-	AppendMs int64 // duration of a slow append so far; 0 only asks for an answer
+	From     string
+	AppendMs int64 // duration of a slow append; 0 only asks for an answer
+	Answered bool  // that append was answered
 }
 
 // NoticeReply is the reply of Service.Notice.
@@ -74,7 +88,9 @@
 // Notice is a method of net/rpc. It tells this VM that the log is slow.
 func (s *Service) Notice(args NoticeArgs, _ *NoticeReply) error {
 	defer crash.End(nil)
-	s.log.observe(time.Duration(args.AppendMs) * time.Millisecond)
+	if args.AppendMs > 0 {
+		s.log.handleNotice(args)
+	}
 	return nil
 }
 
@@ -86,8 +102,11 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), min(args.Timeout, maxTimeout))
 	defer cancel()
+	arrived := boottime.Now()
 	reply.Results = s.log.storeAsCommitter(ctx, args.Records)
-	reply.Took = s.log.opts.Appender.Took()
+	var answeredAt time.Duration
+	reply.Took, reply.Number, answeredAt = s.log.opts.Appender.Took()
+	reply.Silent = boottime.Now() - max(arrived, answeredAt)
 	return nil
 }
 
@@ -97,7 +116,9 @@
 		return Stored
 	case errors.Is(err, provider.ErrInDoubt):
 		return InDoubt
-	case errors.Is(err, provider.ErrUnavailable), errors.Is(err, provider.ErrRejected):
+	case errors.Is(err, provider.ErrRejected):
+		return Rejected
+	case errors.Is(err, provider.ErrUnavailable):
 		return NotStored
 	}
 	return InDoubt
@@ -111,13 +132,18 @@
 	}
 	counts := [results]int{}
 	for _, r := range list {
-		counts[min(r, results-1)]++
+		if r >= results { // of a later version
+			r = InDoubt
+		}
+		counts[r]++
 	}
 	switch want {
 	case counts[Stored]:
 		return nil
-	case counts[NotStored]:
-		return fmt.Errorf("%w: committer did not store the record in time", provider.ErrUnavailable)
+	case counts[Rejected]:
+		return fmt.Errorf("committer: %w", provider.ErrRejected)
+	case counts[NotStored] + counts[Rejected]:
+		return fmt.Errorf("%w: %w", provider.ErrUnavailable, ErrNotStored)
 	}
 	return fmt.Errorf("%w: committer stored %d of %d records", provider.ErrInDoubt, counts[Stored], want)
 }
--- a/groupcommit/groupcommit_test.go
+++ b/groupcommit/groupcommit_test.go
@@ -13,6 +13,7 @@
 	"github.com/go-logr/logr"
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/peridotlock/peridotlock/boottime"
 	"github.com/peridotlock/peridotlock/provider"
 	"github.com/peridotlock/peridotlock/wire"
 )
@@ -47,9 +48,16 @@
 	expected int
 	waiting  []provider.KeyedRecord
 	stored   chan struct{} // closed once the waiting records are stored
+
+	number     int64 // of appends
+	answeredAt time.Duration
 }
 
-func (a *appender) Took() time.Duration { return a.log.took }
+func (a *appender) Took() (time.Duration, int64, time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.log.took, a.number, a.answeredAt
+}
 
 func (a *appender) Store(ctx context.Context, records []provider.KeyedRecord) []error {
 	if a.errs != nil {
@@ -68,6 +76,9 @@
 	a.mu.Unlock()
 	if full {
 		a.log.AppendKeyed(ctx, provider.Partition{}, batch, provider.Condition{})
+		a.mu.Lock()
+		a.number, a.answeredAt = a.number+1, boottime.Now()
+		a.mu.Unlock()
 		close(stored)
 	}
 	<-stored
@@ -156,7 +167,7 @@
 				}
 			}
 			for _, v := range vms[1:] {
-				v.observe(slowAppend)
+				v.observe(slowAppend, true)
 			}
 			So(appendAll(vms[1:]), ShouldEqual, 0)
 			So(len(log.stored), ShouldEqual, len(vms)-1)
@@ -166,7 +177,7 @@
 		log := &serialLog{stored: map[string]bool{}}
 		vms := startVMs(t, log, MinVMs-1)
 		for _, v := range vms {
-			v.observe(time.Second)
+			v.observe(time.Second, true)
 		}
 		So(appendAll(vms), ShouldEqual, 0)
 		So(log.calls, ShouldEqual, len(vms))
@@ -174,12 +185,35 @@
 	})
 }
 
+// A committer that answers its peers but gets no answer from the log must not keep their records.
+func TestCommitterWithoutLog(t *testing.T) {
+	Convey("Given a committer that is cut off from the log, and a slow log", t, func() {
+		log := &serialLog{stored: map[string]bool{}}
+		vms := startVMs(t, log, MinVMs)
+		for _, v := range vms {
+			v.observe(slowAppend, true)
+		}
+		vms[0].appender.expected = 2 // the first record waits for another one
+		append := func(timeout time.Duration) error {
+			ctx, cancel := context.WithTimeout(context.Background(), timeout)
+			defer cancel()
+			_, err := vms[3].AppendKeyed(ctx, provider.Partition{}, record("a"), provider.Condition{})
+			return err
+		}
+		Convey("the next VM is the committer after one append without an answer", func() {
+			So(errors.Is(append(300*time.Millisecond), provider.ErrInDoubt), ShouldBeTrue)
+			So(append(time.Minute), ShouldBeNil)
+			So(log.stored["a"], ShouldBeTrue)
+		})
+	})
+}
+
 // A caller is told that its submission never runs only if no record of it can be stored.
 func TestUncertainResults(t *testing.T) {
 	Convey("An append of several records is refused only if the committer has stored none", t, func() {
 		log := &serialLog{stored: map[string]bool{}}
 		vms := startVMs(t, log, MinVMs)
-		vms[1].observe(slowAppend)
+		vms[1].observe(slowAppend, true)
 		two := append(record("a"), record("b")...)
 		for _, c := range []struct {
 			errs []error
@@ -192,6 +226,7 @@
 			{[]error{provider.ErrInDoubt, provider.ErrUnavailable}, provider.ErrInDoubt},
 			{[]error{errors.New("other"), provider.ErrUnavailable}, provider.ErrInDoubt},
 			{[]error{nil}, provider.ErrInDoubt},
+			{[]error{provider.ErrRejected, provider.ErrRejected}, provider.ErrRejected},
 		} {
 			vms[0].appender.errs = c.errs
 			_, err := vms[1].AppendKeyed(context.Background(), provider.Partition{}, two, provider.Condition{})
@@ -202,7 +237,7 @@
 	Convey("Conditional and large appends go to the log", t, func() {
 		log := &serialLog{stored: map[string]bool{}}
 		vms := startVMs(t, log, MinVMs)
-		vms[1].observe(slowAppend)
+		vms[1].observe(slowAppend, true)
 		vms[0].appender.errs = []error{provider.ErrInDoubt}
 		end := provider.Offset(3)
 		_, err := vms[1].AppendKeyed(context.Background(), provider.Partition{}, record("a"), provider.Condition{End: &end})
@@ -223,33 +258,45 @@
 		r.setPeers(peers)
 		_, ok := r.committer(0)
 		So(ok, ShouldBeFalse)
-		So(r.observe(slowAppend), ShouldBeTrue)
+		So(r.observe(slowAppend, true), ShouldBeTrue)
 		Convey("it ends after some fast appends in a row", func() {
 			for range fastAppends - 1 {
-				So(r.observe(fastAppend-1), ShouldBeFalse)
+				So(r.observe(fastAppend-1, true), ShouldBeFalse)
 			}
-			r.observe(fastAppend)
+			r.observe(fastAppend, true)
 			for range fastAppends - 1 {
-				So(r.observe(fastAppend-1), ShouldBeFalse)
+				So(r.observe(fastAppend-1, true), ShouldBeFalse)
 			}
-			So(r.observe(fastAppend-1), ShouldBeTrue)
+			So(r.observe(fastAppend-1, true), ShouldBeTrue)
 			_, ok := r.committer(0)
 			So(ok, ShouldBeFalse)
 		})
-		Convey("committers that fail are passed over for longer and longer, and the VM appends for itself if several do", func() {
+		Convey("a VM that is cut off from the log does not slow down the others", func() {
+			r := route{self: "vm-9"}
+			r.setPeers(peers)
+			So(r.handleNotice("vm-0", false, time.Second), ShouldBeFalse)
+			So(r.handleNotice("vm-0", false, 2*time.Second), ShouldBeFalse)
+			So(r.handleNotice("vm-1", false, 4*time.Second), ShouldBeFalse)
+			So(r.handleNotice("vm-2", false, 4*time.Second), ShouldBeTrue)
+			So(r.confirmed, ShouldBeFalse) // both may have lost an answer
+			So(r.handleNotice("vm-2", true, 4*time.Second), ShouldBeFalse)
+			So(r.confirmed, ShouldBeTrue)
+		})
+		Convey("committers that fail are passed over for longer and longer", func() {
 			for i := range maxTried {
 				p, ok := r.committer(time.Second)
 				So(ok, ShouldBeTrue)
 				So(p.Name, ShouldEqual, peers[i].Name)
 				r.handleFailure(p.Name, time.Second)
 			}
-			_, ok := r.committer(time.Second)
-			So(ok, ShouldBeFalse)
-			r.handleFailure("vm-0", 2*time.Second)
-			p, _ := r.committer(2*time.Second + minPause)
+			r.handleFailure("vm-0", time.Second) // of a call beside the first one
+			p, _ := r.committer(time.Second + minPause)
+			So(p.Name, ShouldEqual, "vm-0")
+			r.handleFailure("vm-0", time.Second+minPause)
+			p, _ = r.committer(time.Second + 2*minPause)
 			So(p.Name, ShouldEqual, "vm-1")
 			r.handleAnswer("vm-0")
-			p, _ = r.committer(2*time.Second + minPause)
+			p, _ = r.committer(time.Second + 2*minPause)
 			So(p.Name, ShouldEqual, "vm-0")
 		})
 	})
--- a/groupcommit/log.go
+++ b/groupcommit/log.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -27,6 +28,7 @@
 const (
 	announceInterval = time.Second            // between two announcements of a slow log
 	noticeTimeout    = 500 * time.Millisecond // of one notice
+	answerReserve    = 100 * time.Millisecond // of a call's time, for the committer's answer
 	// slowRepeatDelay is RepeatDelay while the log is slow. Two attempts fit a caller's time.
 	slowRepeatDelay = 1500 * time.Millisecond
 )
@@ -53,6 +55,8 @@
 	mu          sync.Mutex // protects the rest
 	route       route
 	announcedAt time.Duration // boot time of the newest announcement of a slow log; 0 for none
+	newestOf    string        // committer of the newest append that was observed
+	newest      int64         // number of that append
 }
 
 // NewLog returns a Log that knows no other VMs.
@@ -110,9 +114,10 @@
 var errNotReached = errors.New("committer not reached")
 
 func size(records []provider.KeyedRecord) int {
+	const encoding = 32 // bytes of a record in a request, besides its own
 	sum := 0
 	for _, r := range records {
-		sum += r.Size()
+		sum += r.Size() + encoding
 	}
 	return sum
 }
@@ -127,39 +132,63 @@
 // late, so that a repeat of the append is shared.
 func (l *Log) append(ctx context.Context, records []provider.KeyedRecord) (provider.Offset, error) {
 	l.direct.Inc()
-	late := time.AfterFunc(slowAppend, func() { l.observe(slowAppend) })
-	defer late.Stop()
-	sent := boottime.Now()
+	answered := l.Watch()
 	offset, err := l.KeyedLog.AppendKeyed(ctx, l.opts.Partition, records, provider.Condition{})
-	if err == nil {
-		l.observe(boottime.Now() - sent)
-	}
+	answered(err == nil)
 	return offset, err
 }
 
-// storeAsCommitter stores records of this VM or others. If that is slow it tells all VMs.
+// storeAsCommitter stores records of this VM or others.
 func (l *Log) storeAsCommitter(ctx context.Context, records []provider.KeyedRecord) []Result {
-	late := time.AfterFunc(slowAppend, l.announce)
-	defer late.Stop()
 	list := make([]Result, 0, len(records))
 	for _, err := range l.opts.Appender.Store(ctx, records) {
 		list = append(list, resultOf(err))
 	}
-	l.observe(l.opts.Appender.Took())
+	took, number, _ := l.opts.Appender.Took()
+	l.observeOf(l.opts.Self, took, number, list)
 	return list
 }
 
-// Watch watches an append of this VM to the shared partition that does not go through the Log, until
-// stop is called. If it is slow, all VMs are told: owners append all the time.
-func (l *Log) Watch() (stop func() bool) { return time.AfterFunc(slowAppend, l.announce).Stop }
+// Watch watches an append of this VM to the shared partition, until the returned function is called
+// with whether the append was answered. If it is slow, all VMs are told.
+func (l *Log) Watch() (ended func(answered bool)) {
+	sent := boottime.Now()
+	late := time.AfterFunc(slowAppend, func() { l.announce(slowAppend, false) })
+	return func(answered bool) {
+		late.Stop()
+		if !answered {
+			return
+		}
+		took := boottime.Now() - sent
+		if took >= slowAppend {
+			l.announce(took, true)
+			return
+		}
+		l.observe(took, true)
+	}
+}
+
+// handleNotice notes what another VM says of the log.
+func (l *Log) handleNotice(args NoticeArgs) {
+	l.mu.Lock()
+	changed := l.route.handleNotice(args.From, args.Answered, boottime.Now())
+	l.mu.Unlock()
+	if changed {
+		l.logChange(true, time.Duration(args.AppendMs)*time.Millisecond)
+	}
+}
 
-// announce tells all VMs that the log is slow, once in announceInterval.
-func (l *Log) announce() {
+// announce tells all VMs that an append is slow, once in announceInterval, and once more when one was
+// answered for the first time.
+func (l *Log) announce(took time.Duration, answered bool) {
 	defer crash.End(nil)
-	l.observe(slowAppend)
+	l.mu.Lock()
+	first := answered && !l.route.confirmed
+	l.mu.Unlock()
+	l.observe(took, answered)
 	now := boottime.Now()
 	l.mu.Lock()
-	due := l.announcedAt == 0 || now-l.announcedAt >= announceInterval
+	due := first || l.announcedAt == 0 || now-l.announcedAt >= announceInterval
 	if due {
 		l.announcedAt = now
 	}
@@ -168,6 +197,7 @@
 	if !due || len(peers) < MinVMs {
 		return
 	}
+	notice := NoticeArgs{From: l.opts.Self, AppendMs: took.Milliseconds(), Answered: answered}
 	for _, p := range peers {
 		if p.Name == l.opts.Self {
 			continue
@@ -176,7 +206,7 @@
 			ctx, cancel := context.WithTimeout(context.Background(), noticeTimeout)
 			defer cancel()
 			// A VM that can't be told finds out by an append of its own.
-			_ = l.opts.Pool.Client(p.Address).Call(ctx, ServiceName+".Notice", NoticeArgs{AppendMs: slowAppend.Milliseconds()}, &NoticeReply{})
+			_ = l.opts.Pool.Client(p.Address).Call(ctx, ServiceName+".Notice", notice, &NoticeReply{})
 		}, "subject", "notice", "key", p.Name)
 	}
 }
@@ -185,14 +215,17 @@
 func (l *Log) ask(ctx context.Context, p Peer, records []provider.KeyedRecord) error {
 	args := StoreArgs{Records: records, Timeout: maxTimeout}
 	if deadline, ok := ctx.Deadline(); ok {
-		args.Timeout = time.Until(deadline)
+		args.Timeout = time.Until(deadline) - answerReserve
+	}
+	if args.Timeout <= 0 {
+		return fmt.Errorf("%w: %w", provider.ErrUnavailable, ErrNotStored)
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	crash.Go(func() { l.watchCommitter(ctx, p, cancel) }, "subject", "committer", "key", p.Name)
 	var reply StoreReply
 	if err := l.opts.Pool.Client(p.Address).Call(ctx, ServiceName+".Store", args, &reply); err != nil {
-		if ctx.Err() == nil || errors.Is(context.Cause(ctx), errSilent) {
+		if !errors.Is(context.Cause(ctx), context.Canceled) { // else another attempt was answered
 			l.handleFailure(p, err.Error())
 		}
 		if errors.Is(err, wire.ErrNotSent) {
@@ -200,10 +233,14 @@
 		}
 		return fmt.Errorf("%w: committer %s: %w", provider.ErrInDoubt, p.Name, err)
 	}
+	if reply.Silent >= maxSilent && !slices.Contains(reply.Results, Stored) {
+		l.handleFailure(p, "no answer from the log")
+		return errorOf(reply.Results, len(records))
+	}
 	l.mu.Lock()
 	l.route.handleAnswer(p.Name)
 	l.mu.Unlock()
-	l.observe(reply.Took)
+	l.observeOf(p.Name, reply.Took, reply.Number, reply.Results)
 	return errorOf(reply.Results, len(records))
 }
 
@@ -213,7 +250,7 @@
 func (l *Log) RepeatDelay() time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.route.slow || len(l.route.ranked) < MinVMs {
+	if !l.route.confirmed || len(l.route.ranked) < MinVMs {
 		return 0
 	}
 	return slowRepeatDelay
@@ -225,10 +262,10 @@
 // watchCommitter cancels a call to a committer that turns out to be silent.
 func (l *Log) watchCommitter(ctx context.Context, p Peer, cancel context.CancelCauseFunc) {
 	for pause.For(ctx, pingAfter) == nil {
-		ping, stop := context.WithTimeout(ctx, pingTimeout)
+		ping, stop := context.WithTimeout(context.WithoutCancel(ctx), pingTimeout)
 		err := l.opts.Pool.Client(p.Address).Call(ping, ServiceName+".Notice", NoticeArgs{}, &NoticeReply{})
 		stop()
-		if err != nil && ctx.Err() == nil {
+		if errors.Is(err, wire.ErrNotSent) || errors.Is(err, wire.ErrUnanswered) {
 			cancel(errSilent)
 		}
 	}
@@ -242,16 +279,33 @@
 	l.opts.Logger.Info("committer failed", "committer", p.Name, "reason", reason)
 }
 
-// observe notes the duration of an append, 0 if it is not known.
-func (l *Log) observe(took time.Duration) {
-	if took <= 0 {
-		return
+// observeOf notes the newest append of a committer, unless it is known or nothing was stored.
+func (l *Log) observeOf(committer string, took time.Duration, number int64, list []Result) {
+	l.mu.Lock()
+	known := l.newestOf == committer && l.newest == number
+	l.newestOf, l.newest = committer, number
+	l.mu.Unlock()
+	if !known && took > 0 && slices.Contains(list, Stored) {
+		l.observe(took, true)
 	}
+}
+
+// observe notes the duration of an append.
+func (l *Log) observe(took time.Duration, answered bool) {
 	l.mu.Lock()
-	changed := l.route.observe(took)
+	changed := l.route.observe(took, answered)
 	slow := l.route.slow
 	l.mu.Unlock()
 	if changed {
+		l.logChange(slow, took)
+	}
+}
+
+func (l *Log) logChange(slow bool, took time.Duration) {
+	l.mu.Lock()
+	vms := len(l.route.ranked)
+	l.mu.Unlock()
+	if vms >= MinVMs {
 		l.opts.Logger.Info("appends through a committer", "active", slow, "append_ms", took.Milliseconds())
 	}
 }
--- a/intake/appender.go
+++ b/intake/appender.go
@@ -23,7 +23,7 @@
 // NewAppender returns an Appender for a partition. MinRepeatDelay returns the least time after which
 // an append without an answer is repeated.
 func NewAppender(log provider.KeyedLog, p provider.Partition, minRepeatDelay func() time.Duration) *Appender {
-	return &Appender{&batcher{log: log, partition: p, took: &atomic.Int64{}, minRepeatDelay: minRepeatDelay,
+	return &Appender{&batcher{log: log, partition: p, newest: &atomic.Pointer[answeredAppend]{}, minRepeatDelay: minRepeatDelay,
 		mayOverlap: func(age time.Duration) bool { return age >= overlapAge }, maxOverlap: 2}}
 }
 
@@ -48,5 +48,10 @@
 	return errs
 }
 
-// Took returns the duration of the newest append that was answered, 0 if there is none.
-func (a *Appender) Took() time.Duration { return time.Duration(a.batcher.took.Load()) }
+// Took implements groupcommit.Appender.
+func (a *Appender) Took() (took time.Duration, number int64, answeredAt time.Duration) {
+	if n := a.batcher.newest.Load(); n != nil {
+		return n.took, n.number, n.answeredAt
+	}
+	return 0, 0, 0
+}
