Mend what the review of caps and of waits for places has found

Cause: work that waited for its tenant's cap in a cell without executors for it stayed there for good, and hid other work of the tenant; parts below 1/2^13 were given by nobody; the part that long-running tasks keep to start again had no bound for gangs, was passed by other tasks where a cell holds the whole cap, and was lost within a plan; a removed tenant fell back to its initial share; a wait for places did not end with its rack, or with a refusal for other reasons, and kept its submission from a handover. Change: each as the review proposed.

--- a/dispatch/placewait.go
+++ b/dispatch/placewait.go
@@ -127,6 +127,7 @@
 // the submission could move to another cell. A wait reserves nothing.
 func (c *Core) waitsForPlace(st *step, elsewhere bool, candidates []*candidate, now time.Duration) bool {
 	if st.rack == "" || !c.weighsPlaces(st) {
+		c.endPlaceWait(st, PlaceGivenUp, "no rack has room for it", now)
 		return false
 	}
 	if !elsewhere && !c.mayHandOver(st.job, now) {
@@ -144,7 +145,8 @@
 	}
 	choice := c.placeChoice(st, waits[len(waits)-1], elsewhere, now)
 	if choice.wait == 0 || !st.spec.Gang && waits[0] == 0 {
-		return false // refused for another reason than room
+		c.endPlaceWait(st, PlaceGivenUp, "refused on the rack for other reasons than room", now)
+		return false
 	}
 	c.rackDemand[st.rack] = now + rackDemandTime
 	weighed := choice
--- a/dispatch/tenant.go
+++ b/dispatch/tenant.go
@@ -32,6 +32,7 @@
 	isCapped    bool          // the newest plan did
 	loggedAt    time.Duration // time of the newest line about that; 0 for none
 	probeAfter  time.Duration // earliest time of the next search for an executor by TenantUses
+	probeFrom   int           // number of its waiting steps that the next search passes over
 	hasRoom     bool          // the newest TenantUses found an executor for a task that waits for the cap
 }
 
@@ -111,7 +112,7 @@
 		return false
 	}
 	size := multiply(t.step.spec.Size, n)
-	if tn.whole && n == 1 && tn.used.IsZero() {
+	if tn.whole && n == 1 && tn.used.IsZero() && (t.holdsCap || tn.restarting.IsZero()) {
 		return false
 	}
 	used := tn.used
@@ -164,7 +165,14 @@
 			continue
 		}
 		for _, t := range st.waiting {
-			t.holdsCap = t.runNumber > 0 && (t.unplaceableSince == 0 || now-t.unplaceableSince < maxRestartHold)
+			since := t.unplaceableSince
+			if st.spec.Gang { // which has no reservations
+				if st.holdSince == 0 {
+					st.holdSince = now
+				}
+				since = st.holdSince
+			}
+			t.holdsCap = t.runNumber > 0 && (since == 0 || now-since < maxRestartHold)
 			if t.holdsCap {
 				tn.restarting = tn.restarting.Add(st.spec.Size)
 			}
@@ -191,6 +199,7 @@
 	for _, t := range capped {
 		t.unplaceableSince, t.reservedOn = 0, ""
 	}
+	c.endPlaceWait(st, PlaceDropped, "waits for its tenant's cap", now)
 	st.capped = len(capped)
 	st.waiting = append(st.waiting, capped...)
 	tn := st.job.tenant
@@ -250,6 +259,7 @@
 		out[tn.name] = TenantUse{Used: tn.used, Demand: quota.Demand{Used: used, Next: used, Need: used}}
 	}
 	probes, hasRoom := map[*tenant]int{}, map[*tenant]bool{}
+	passed := map[*tenant]int{}
 	var candidates []*candidate // nil until it is needed
 	var free fleet.Resources
 	for _, st := range c.waiting {
@@ -260,7 +270,7 @@
 		}
 		use := out[tn.name]
 		use.Waiting = use.Waiting.Add(multiply(st.spec.Size, len(capped)))
-		if !hasRoom[tn] && probes[tn] < maxCapProbes && now >= tn.probeAfter {
+		if passed[tn]++; !hasRoom[tn] && probes[tn] < maxCapProbes && now >= tn.probeAfter && passed[tn] > tn.probeFrom {
 			probes[tn]++
 			if candidates == nil {
 				candidates, free = c.roomForCapped(now)
@@ -269,16 +279,15 @@
 				if tn.hasRoom {
 					use.Demand.Next = tn.nextShare(capped[0])
 				}
-			} else if probes[tn] == maxCapProbes {
-				tn.probeAfter = now + capProbeDelay
 			}
 		}
 		out[tn.name] = use
 	}
 	for name, use := range out {
-		c.tenants[name].hasRoom = hasRoom[c.tenants[name]]
+		tn := c.tenants[name]
+		tn.hasRoom = hasRoom[tn]
+		tn.continueProbes(probes[tn], passed[tn], now)
 		if d := &use.Demand; d.Next > d.Used {
-			tn := c.tenants[name]
 			need := fleet.Resources{MilliCPU: min(use.Waiting.MilliCPU, free.MilliCPU), MemoryMB: min(use.Waiting.MemoryMB, free.MemoryMB), Accelerators: min(use.Waiting.Accelerators, free.Accelerators)}
 			d.Need = max(d.Next, quota.ShareFor(tn.used.Add(tn.restarting).Add(need), tn.limit))
 			out[name] = use
@@ -287,6 +296,18 @@
 	return out
 }
 
+// continueProbes decides where the next search for an executor begins, after one of some of the tenant's
+// waiting steps: those that no executor can run must not hide the others.
+func (tn *tenant) continueProbes(probed, waiting int, now time.Duration) {
+	switch {
+	case tn.hasRoom:
+	case probed == maxCapProbes && tn.probeFrom+probed < waiting:
+		tn.probeFrom += probed
+	case probed > 0 || tn.probeFrom >= waiting:
+		tn.probeFrom, tn.probeAfter = 0, now+capProbeDelay
+	}
+}
+
 // uncapped returns the waiting tasks that were not refused for their tenant's cap at the newest plan.
 func (st *step) uncapped() []*task { return st.waiting[:max(0, len(st.waiting)-st.capped)] }
 
--- a/dispatch/tenant_test.go
+++ b/dispatch/tenant_test.go
@@ -215,3 +215,32 @@
 		}
 	}
 }
+
+// A cell that holds little of a cap, and no executor for the work, kept it for good: it asked for no part, since it had
+// no room, and waited for one, which is no reason for a handover.
+func TestCappedWorkWithoutExecutors(t *testing.T) {
+	Convey("Given one of two cells without a part of a tenant's cap, and work of it that needs a label that the cell lacks", t, func() {
+		sim := newCappedSimulation(2, 1, 6000)
+		sim.core.options.Cells, sim.core.options.TenantShare = 2, 0
+		sim.core.SetTenantShares(map[string]int64{"small": 0})
+		elsewhere := tasks(1, time.Second)
+		elsewhere.RequiredLabel = "elsewhere"
+		for i := range maxCapProbes + 1 {
+			sim.submitFor("small", fmt.Sprintf("%016x", i), elsewhere)
+		}
+		sim.run(time.Second)
+		Convey("it is offered to the other cell", func() {
+			So(len(sim.core.HandoverCandidates(sim.now)), ShouldEqual, maxCapProbes+1)
+		})
+		Convey("work that could run here is not, and its need is published although the others come first", func() {
+			sim.submitFor("small", string(idB), tasks(2, 2*time.Second)) // more work: last by rank
+			needed := func() bool {
+				d := sim.core.TenantUses(sim.now)["small"].Demand
+				return d.Need > d.Used
+			}
+			So(sim.runUntil(5*time.Second, needed), ShouldBeTrue)
+			sim.run(time.Second)
+			So(sim.core.HandoverCandidates(sim.now), ShouldNotContain, submission.ID(idB))
+		})
+	})
+}
--- a/node/tenantcaps.go
+++ b/node/tenantcaps.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -121,13 +122,28 @@
 	o.caps.given = o.caps.given.Merge(read.Given[o.cell]) // others count what another writer has stored there
 	given := o.given(read)
 	shares := map[string]int64{}
-	for _, t := range o.caps.tenants {
-		shares[t.Name] = max(0, quota.Shares(t.Name, given)[o.cell]-o.lostShare(t.Name))
+	for _, name := range o.tenantsWithShares(given) {
+		shares[name] = max(0, quota.Shares(name, given)[o.cell]-o.lostShare(name))
 	}
 	o.core.SetTenantShares(shares)
 	o.caps.version, o.caps.applied = read.Version, true
 }
 
+// tenantsWithShares returns the tenants with a cap, and those of which parts were ever given: one that
+// has been removed keeps its cap here, and may have it in a configuration that other VMs have.
+func (o *owner) tenantsWithShares(given []quota.Given) []string {
+	names := map[string]bool{}
+	for _, t := range o.caps.tenants {
+		names[t.Name] = true
+	}
+	for _, g := range given {
+		for name := range g {
+			names[name] = true
+		}
+	}
+	return slices.Collect(maps.Keys(names))
+}
+
 // publishUse publishes what tenants use and need of the cell, by which the owners of other
 // cells give parts of their shares: at once when work begins to wait for a cap.
 func (o *owner) publishUse(uses map[string]dispatch.TenantUse, now time.Duration) {
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -250,3 +250,21 @@
 		}
 	})
 }
+
+// Parts that are small beside the whole were given by nobody: each of two cells left them to the other one.
+func TestSmallPartsAreGiven(t *testing.T) {
+	Convey("Of two cells with parts to spare, one gives a small part that a third one lacks", t, func() {
+		cells := []Cell{
+			{Share: Whole/2 - 84, Demand: Demand{Used: Whole/2 - 1584, Next: Whole/2 - 1584, Need: Whole/2 - 1584}, Reachable: true},
+			{Share: Whole/2 - 83, Demand: Demand{Used: Whole/2 - 1583, Next: Whole/2 - 1583, Need: Whole/2 - 1583}, Reachable: true},
+			{Share: 167, Demand: Demand{Used: 0, Next: 334, Need: 334}, Reachable: true},
+		}
+		given := int64(0)
+		for i := range 2 {
+			if parts := Transfers(i, cells); parts != nil {
+				given += parts[2]
+			}
+		}
+		So(given, ShouldBeGreaterThanOrEqualTo, 167)
+	})
+}
--- a/quota/transfer.go
+++ b/quota/transfer.go
@@ -71,8 +71,9 @@
 		if n == 0 {
 			continue
 		}
-		out[i] = min(left, max(ownPart(self, n, givers, spare), int64(float64(n+extra)*float64(own)/float64(all))))
-		if out[i] < minPart && all-own >= missing {
+		part := ownPart(self, n, givers, spare) // the parts of all givers cover what is missing
+		out[i] = min(left, max(part, int64(float64(n+extra)*float64(own)/float64(all))))
+		if out[i] < minPart && part == 0 {
 			out[i] = 0
 		}
 		left -= out[i]
