Restore the gang in TestPlaceWaits

Cause: changed a line of that test by mistake (a replacement meant for the new test only), and it failed.

--- a/dispatch/placewait_test.go
+++ b/dispatch/placewait_test.go
@@ -257,7 +257,7 @@
 	Convey("Given a group that is slower on more than one rack", t, func() {
 		sim := rackedSimulation(3, 4, 8, true)
 		group := tasks(20, time.Second)
-		group.SameRack = true
+		group.SameRack, group.Gang = true, true
 		Convey("it starts on the one that has room for all", func() {
 			for i, rack := range []string{"r0", "r1"} {
 				sim.submit(fmt.Sprintf("%016x", 0x20+i), newSubmission(near(rack, 16, 3*time.Second)))
