--- a/groupcommit/groupcommit.go
+++ b/groupcommit/groupcommit.go
@@ -7,7 +7,7 @@
 //
 // A Log chooses the committer for its VM; a Service is the committer's side. Any VM may be a
 // committer, and several may be at the same time: records are idempotent. A committer whose appends
-// are slow tells all VMs, so that not each of them finds out by an append of its own.
+// are slow notifies all VMs, so that not each of them has to find out by an append of its own.
 package groupcommit
 
 import (
@@ -85,7 +85,7 @@
 // NoticeReply is the reply of Service.Notice.
 type NoticeReply struct{}
 
-// Notice is a method of net/rpc. It tells this VM that the log is slow.
+// Notice is a method of net/rpc. It notifies this VM of a slow log.
 func (s *Service) Notice(args NoticeArgs, _ *NoticeReply) error {
 	defer crash.End(nil)
 	if args.AppendMs > 0 {
--- a/groupcommit/log.go
+++ b/groupcommit/log.go
@@ -150,7 +150,7 @@
 }
 
 // Watch watches an append of this VM to the shared partition, until the returned function is called
-// with whether the append was answered. If it is slow, all VMs are told.
+// with whether the append was answered. If it is slow, all VMs are notified.
 func (l *Log) Watch() (ended func(answered bool)) {
 	sent := boottime.Now()
 	late := time.AfterFunc(slowAppend, func() { l.announce(slowAppend, false) })
@@ -178,7 +178,7 @@
 	}
 }
 
-// announce tells all VMs that an append is slow, once in announceInterval, and once more when one was
+// announce notifies all VMs of a slow append, once in announceInterval, and once more when one was
 // answered for the first time.
 func (l *Log) announce(took time.Duration, answered bool) {
 	defer crash.End(nil)
@@ -205,7 +205,7 @@
 		crash.Go(func() {
 			ctx, cancel := context.WithTimeout(context.Background(), noticeTimeout)
 			defer cancel()
-			// A VM that can't be told finds out by an append of its own.
+			// A VM that is not reached finds out by an append of its own.
 			_ = l.opts.Pool.Client(p.Address).Call(ctx, ServiceName+".Notice", notice, &NoticeReply{})
 		}, "subject", "notice", "key", p.Name)
 	}
--- a/guard/ledger.go
+++ b/guard/ledger.go
@@ -15,7 +15,7 @@
 // eighth of it, so that ordinary requests get in while a crowd of large ones fills the rest.
 const smallRequest = 64 << 10
 
-// state tells what a connection waits for.
+// state is what a connection waits for.
 type state byte
 
 const (
--- a/policy/meter.go
+++ b/policy/meter.go
@@ -9,7 +9,7 @@
 // what they send in a single second varies by more than the tenant's usual distance to its weight.
 const meterWindow = 5 * time.Second
 
-// Meter tells which submissions of a tenant exceed its weight, in submissions a second, with a token
+// Meter finds the submissions of a tenant that exceed its weight, in submissions a second, with a token
 // bucket for each tenant. It is safe for concurrent use.
 //
 // It answers a tenant that sends many times its usual work: what it sends within its weight must
--- a/quota/transfer.go
+++ b/quota/transfer.go
@@ -35,7 +35,7 @@
 // refill what ends there and keep that in another waiting.
 //
 // All owners compute the same from the same records. What is missing comes from the cells that can
-// spare the most. Half of what nobody needs goes along, from all cells in proportion: more work is likely to
+// spare the most. Half of what no cell needs goes along, from all cells in proportion: more work is likely to
 // follow where some has come, and it doesn't wait for one giver. Where records are behind, a cell
 // gets too much for a while, from parts that nobody needs.
 func Transfers(self int, cells []Cell) []int64 {
