--- /dev/null
+++ b/review/standin3/main.go
@@ -0,0 +1,411 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+)
+
+func main() {
+	if len(os.Args) != 4 {
+		fmt.Fprintln(os.Stderr, "usage: standin3 CASE ROOT RECORD")
+		os.Exit(2)
+	}
+	root, err := filepath.Abs(os.Args[2])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(2)
+	}
+	cases := map[string]func(root, record string, trouble bool) *world{"gang": gangCase, "crash": crashCase, "mix": mixCase, "steps": stepsCase}
+	play, ok := cases[os.Args[1]]
+	if !ok {
+		fmt.Fprintln(os.Stderr, "unknown case", os.Args[1])
+		os.Exit(2)
+	}
+	w := play(root, os.Args[3], os.Getenv("TROUBLE") != "0")
+	w.stop()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(w.judge.breaks) == 0 {
+		w.record("all rules held")
+		fmt.Println("all rules held")
+		os.Exit(0)
+	}
+	fmt.Printf("%d breaks, first: %s\n", len(w.judge.breaks), w.judge.breaks[0])
+	os.Exit(1)
+}
+
+// gangCase: a checkpointable gang loses a member with its executor, and starts again.
+func gangCase(root, record string, trouble bool) *world {
+	w := newWorld(root, record, 6, 24, func(int) string { return "a" })
+	var all []*sub
+	for range 8 {
+		s := &sub{Spec: "certificates", Steps: []*step{{Count: 6, CPU: 1800, MemMB: 3200, EstimateMs: 20000, Checkpointable: true, Gang: true, workMs: 20000}}}
+		w.submit(s)
+		all = append(all, s)
+	}
+	if trouble {
+		for range 5 {
+			time.Sleep(5300 * time.Millisecond)
+			if e := w.executorWithRun(); e != nil {
+				e.crash(3*time.Second, false)
+			}
+		}
+	}
+	w.followAll(all, 50*time.Second)
+	return w
+}
+
+// executorWithRun returns an executor that runs a task.
+func (w *world) executorWithRun() *executor {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, i := range rand.Perm(len(w.execs)) {
+		if e := w.execs[i]; e.up && len(e.running) > 0 {
+			return e
+		}
+	}
+	return nil
+}
+
+// followAll follows submissions until all have ended or a time is over.
+func (w *world) followAll(all []*sub, limit time.Duration) {
+	until := time.Now().Add(limit)
+	var group sync.WaitGroup
+	for _, s := range all {
+		group.Go(func() {
+			if state := w.follow(s, until); !isFinal(state) && s.accepted {
+				w.mu.Lock()
+				w.record("not ended: %s %s", s.id, state)
+				w.mu.Unlock()
+			}
+		})
+	}
+	group.Wait()
+}
+
+// crashCase: the only executor that suits a task crashes three times, one second each, once in four seconds.
+func crashCase(root, record string, trouble bool) *world {
+	w := newWorld(root, record, 6, 66, func(i int) string {
+		if i == 0 {
+			return "b"
+		}
+		return "a"
+	})
+	s := &sub{Spec: "certificates", Steps: []*step{{Count: 2, CPU: 1800, MemMB: 3200, EstimateMs: 5000, Requires: "b", workMs: 5000}}}
+	w.submit(s)
+	if trouble {
+		go func() {
+			for range 3 {
+				time.Sleep(3 * time.Second)
+				w.execs[0].crash(time.Second, false)
+				time.Sleep(time.Second)
+			}
+		}()
+	}
+	w.followAll([]*sub{s}, 40*time.Second)
+	return w
+}
+
+// mixCase: all kinds of work under random disturbances.
+func mixCase(root, record string, trouble bool) *world {
+	w := newWorld(root, record, 6, 24, func(i int) string {
+		if i%4 == 0 {
+			return "b"
+		}
+		return "a"
+	})
+	var mu sync.Mutex
+	var all []*sub
+	var group sync.WaitGroup
+	stop := make(chan struct{})
+	if trouble {
+		group.Go(func() { w.disturb(stop) })
+	}
+	end := time.Now().Add(60 * time.Second)
+	for time.Now().Before(end) {
+		time.Sleep(rand.N(300 * time.Millisecond))
+		s := randomSub()
+		group.Go(func() {
+			if w.submit(s) {
+				mu.Lock()
+				all = append(all, s)
+				mu.Unlock()
+			}
+			if rand.IntN(8) == 0 {
+				time.Sleep(rand.N(5 * time.Second))
+				w.cancel(s)
+			}
+		})
+	}
+	close(stop)
+	group.Wait()
+	w.followAll(all, 25*time.Second)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, s := range all {
+		if !isFinal(s.lastState) && !s.Steps[len(s.Steps)-1].LongRunning && !s.cancelTry {
+			w.judge.broken("LOST", "%s has not ended", s.id)
+		}
+	}
+	return w
+}
+
+func randomSub() *sub {
+	s := &sub{Spec: fmt.Sprintf("spec <&> %d \u2028 ž", rand.Int()), hopeless: rand.IntN(20) == 0}
+	for i := range 1 + rand.IntN(3) {
+		st := &step{Count: 1 + rand.IntN(6), CPU: 500 + rand.Int64N(2500), MemMB: 1000 + rand.Int64N(4000), workMs: 200 + rand.Int64N(3000)}
+		st.EstimateMs = st.workMs
+		st.Gang = rand.IntN(3) == 0
+		st.Checkpointable = rand.IntN(2) == 0 && !st.Gang
+		if rand.IntN(6) == 0 {
+			st.CPU, st.MemMB = 8000, 30000
+		}
+		if rand.IntN(4) == 0 {
+			st.Requires = []string{"a", "b"}[rand.IntN(2)]
+		}
+		if rand.IntN(4) == 0 {
+			st.AntiAffinity = 1 + rand.IntN(2)
+		}
+		if i > 0 && rand.IntN(3) > 0 {
+			st.DependsOn = []int{rand.IntN(i)}
+		}
+		s.Steps = append(s.Steps, st)
+	}
+	if rand.IntN(4) == 0 {
+		s.MaxRuns = 1 + rand.IntN(5)
+		s.FirstDueMs = time.Now().UnixMilli() + rand.Int64N(4000) - 1000
+		s.IntervalMs = 500 + rand.Int64N(2500)
+	}
+	return s
+}
+
+const pauseMin = 500 * time.Millisecond
+
+// disturb plays random disturbances until stop is closed.
+func (w *world) disturb(stop chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(pauseMin + rand.N(2*time.Second)):
+		}
+		v := w.vms[rand.IntN(len(w.vms))]
+		e := w.execs[rand.IntN(len(w.execs))]
+		switch rand.IntN(16) {
+		case 0:
+			v.restart(rand.N(2 * time.Second))
+		case 1:
+			v.roll()
+		case 2:
+			if os.Getenv("CRASH") == "0" {
+				continue
+			}
+			go e.crash(rand.N(3*time.Second), false)
+			go w.execs[rand.IntN(len(w.execs))].crash(rand.N(3*time.Second), false)
+		case 3:
+			w.set(func() { e.cutOff = true })
+			w.note("cut off %s", e.name)
+			time.AfterFunc(6*time.Second, func() { w.set(func() { e.cutOff = false }); w.note("back %s", e.name) })
+		case 4:
+			w.note("late orders")
+			w.set(func() {
+				for _, e := range w.execs {
+					e.lateShare = 0.05
+				}
+			})
+			time.AfterFunc(5*time.Second, func() {
+				w.set(func() {
+					for _, e := range w.execs {
+						e.lateShare = 0
+					}
+				})
+			})
+		case 5:
+			w.note("lost answers of starts")
+			w.set(func() {
+				for _, e := range w.execs {
+					e.lostShare = 0.1
+				}
+			})
+			time.AfterFunc(5*time.Second, func() {
+				w.set(func() {
+					for _, e := range w.execs {
+						e.lostShare = 0
+					}
+				})
+			})
+		case 6, 7:
+			lost, late := 0.35, 0.0
+			if rand.IntN(2) == 0 {
+				lost, late = 0, 0.3
+			}
+			w.note("store loses answers %v %v", lost, late)
+			for _, v := range w.vms {
+				v.mu.Lock()
+				v.lostShare, v.lateShare = lost, late
+				v.mu.Unlock()
+			}
+			time.AfterFunc(4*time.Second, func() {
+				for _, v := range w.vms {
+					v.mu.Lock()
+					v.lostShare, v.lateShare = 0, 0
+					v.mu.Unlock()
+				}
+			})
+		case 9:
+			go e.crash(rand.N(2*time.Second), true)
+		case 10:
+			w.set(func() {
+				if e.up && !e.draining {
+					e.draining, e.drainSince = true, time.Now()
+					w.record("drain %s", e.name)
+				}
+			})
+			go e.put(e.id)
+			time.AfterFunc(7*time.Second, func() { e.crash(time.Second, false) })
+		case 11:
+			z := zones[rand.IntN(len(zones))].name
+			w.store.Put("op", "evacuate/"+z, "{}")
+			w.set(func() { w.evacuated[z] = time.Now(); w.record("evacuate %s", z) })
+			time.AfterFunc(8*time.Second, func() {
+				w.set(func() { delete(w.evacuated, z); w.record("take back %s", z) })
+				w.store.Put("op", "evacuate/"+z, "")
+			})
+		case 12, 13:
+			d := rand.N(5 * time.Second)
+			w.note("freeze %s for %v", v.name, d)
+			v.signal(syscall.SIGSTOP)
+			time.Sleep(d)
+			v.signal(syscall.SIGCONT)
+		case 14, 15:
+			w.note("store turns %s away", v.name)
+			v.mu.Lock()
+			v.down = true
+			v.mu.Unlock()
+			time.AfterFunc(rand.N(9*time.Second), func() {
+				v.mu.Lock()
+				v.down = false
+				v.mu.Unlock()
+			})
+		case 8:
+			for _, v := range w.vms {
+				v.mu.Lock()
+				v.down = true
+				v.mu.Unlock()
+			}
+			w.note("store down")
+			time.Sleep(rand.N(4 * time.Second))
+			for _, v := range w.vms {
+				v.mu.Lock()
+				v.down = false
+				v.mu.Unlock()
+			}
+			w.note("store back")
+		}
+	}
+}
+
+func (w *world) set(f func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	f()
+}
+
+// Figures of stepsCase. Of the submissions, 4 in 150 can never be done.
+const (
+	trafficTime    = 30 * time.Second
+	trafficGap     = 200 * time.Millisecond
+	finishTime     = 14 * time.Second // finish_s
+	idleLimit      = 3 * time.Second  // for which a submission whose turn has come may have nothing running
+	hopelessSteps  = 7000             // the body has 256 kB, the limit of the configuration is 262,144 bytes
+	firstHopeless  = 5 * time.Second
+	hopelessGap    = 5 * time.Second
+	hopelessNumber = 4
+)
+
+// stepsCase: submissions with thousands of steps need a label that no executor has.
+func stepsCase(root, record string, trouble bool) *world {
+	w := newWorld(root, record, 6, 66, func(int) string { return "a" })
+	lasting := &sub{Spec: "watch", Steps: []*step{{Count: 6, CPU: 3200, MemMB: 6400, EstimateMs: 320, LongRunning: true}}}
+	w.submit(lasting)
+	var group sync.WaitGroup
+	if trouble {
+		group.Go(func() {
+			time.Sleep(firstHopeless)
+			for range hopelessNumber {
+				s := &sub{Spec: "release"}
+				for range hopelessSteps {
+					s.Steps = append(s.Steps, &step{Count: 1, CPU: 100, Requires: "c", workMs: 500})
+				}
+				w.submit(s)
+				time.Sleep(hopelessGap)
+			}
+		})
+	}
+	var all []*sub
+	for end := time.Now().Add(trafficTime); time.Now().Before(end); time.Sleep(trafficGap) {
+		s := &sub{Spec: "check", Steps: []*step{{Count: 3, CPU: 1000, MemMB: 1000, EstimateMs: 500, workMs: 500}}}
+		all = append(all, s)
+		group.Go(func() { w.submit(s) })
+	}
+	group.Wait()
+	w.note("traffic ends")
+	time.Sleep(finishTime)
+	w.judgeIdle(lasting, all)
+	return w
+}
+
+// judgeIdle checks for idleLimit whether accepted submissions have nothing running although there is room.
+func (w *world) judgeIdle(lasting *sub, all []*sub) {
+	ran := map[string]bool{} // submissions, and tasks of the lasting one
+	peak := int64(0)
+	for end := time.Now().Add(idleLimit); time.Now().Before(end); time.Sleep(tickInterval) {
+		w.mu.Lock()
+		used := int64(0)
+		for _, e := range w.execs {
+			for task, r := range e.running {
+				ran[idOf(task)], ran[task] = true, true
+				used += w.subs[idOf(r.task)].Steps[stepOf(r.task)].reserved()
+			}
+		}
+		peak = max(peak, used)
+		w.mu.Unlock()
+	}
+	capacity := int64(len(w.execs)) * executorMilliCPU
+	w.note("in use at most %d of %d mCPU for %v", peak, capacity, idleLimit)
+	states := map[string]int{}
+	for _, s := range all {
+		if !s.accepted {
+			continue
+		}
+		state := w.state(s)
+		for range 5 {
+			if state != "" {
+				break
+			}
+			state = w.state(s)
+		}
+		states[state]++
+		w.mu.Lock()
+		switch {
+		case state == "":
+			w.judge.broken("LOST", "%s was accepted and gets no answer", s.id)
+		case !isFinal(state) && !ran[s.id] && 2*peak < capacity:
+			w.judge.broken("LOST", "%s was accepted %.0f s ago, is %s, and has had nothing running for %v", s.id, time.Since(s.acceptAt).Seconds(), state, idleLimit)
+		}
+		w.mu.Unlock()
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.record("states at the end: %v", states)
+	for i := range lasting.Steps[0].Count {
+		if task := fmt.Sprintf("%s.0.0.%d", lasting.id, i); !ran[task] {
+			w.judge.broken("LOST", "%s lasts and has not been running for %v", task, idleLimit)
+		}
+	}
+}
