Review case 11: one schedule that can't be done stops the owner of a cell; case 14: submissions with many steps

Cause: hasOverdueWait walks all open occurrences of a submission for each waiting step of it, on the goroutine that renews the leases; rank walks all its steps as well. Change: a script for the schedule as case 11; that for many steps becomes case 14.

--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -20,7 +20,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
 	}
-	cases := map[string]func(root, record string, trouble bool) *world{"gang": gangCase, "crash": crashCase, "mix": mixCase, "steps": stepsCase}
+	cases := map[string]func(root, record string, trouble bool) *world{"gang": gangCase, "crash": crashCase, "mix": mixCase, "schedule": scheduleCase, "steps": stepsCase}
 	play, ok := cases[os.Args[1]]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "unknown case", os.Args[1])
@@ -316,20 +316,53 @@
 	f()
 }
 
-// Figures of stepsCase. Of the submissions, 4 in 150 can never be done.
+// Figures of scheduleCase and stepsCase.
 const (
-	trafficTime    = 30 * time.Second
-	trafficGap     = 200 * time.Millisecond
-	finishTime     = 14 * time.Second // finish_s
-	idleLimit      = 3 * time.Second  // for which a submission whose turn has come may have nothing running
-	hopelessSteps  = 7000             // the body has 256 kB, the limit of the configuration is 262,144 bytes
-	firstHopeless  = 5 * time.Second
+	trafficTime   = 30 * time.Second
+	trafficGap    = 200 * time.Millisecond
+	finishTime    = 14 * time.Second // finish_s
+	idleLimit     = 3 * time.Second  // for which a submission whose turn has come may have nothing running
+	firstHopeless = 5 * time.Second
+	// The schedule of scheduleCase is due each second and began three hours ago; it has 20,000 occurrences.
+	scheduleAge      = 3 * time.Hour
+	scheduleInterval = time.Second
+	scheduleLength   = 20_000
+	// The submissions of stepsCase are 4 of 154. Their bodies have 256 kB; the limit of the configuration is
+	// 262,144 bytes.
+	hopelessSteps  = 7000
 	hopelessGap    = 5 * time.Second
 	hopelessNumber = 4
 )
 
+// missingLabel is a label that no executor has.
+const missingLabel = "c"
+
+// scheduleCase: a schedule that began hours ago needs a label that no executor has.
+func scheduleCase(root, record string, trouble bool) *world {
+	return hopelessCase(root, record, trouble, func(w *world) {
+		w.submit(&sub{
+			Spec: "release", Steps: []*step{{Count: 1, CPU: 100, Requires: missingLabel, workMs: 500}},
+			MaxRuns: scheduleLength, FirstDueMs: time.Now().Add(-scheduleAge).UnixMilli(), IntervalMs: scheduleInterval.Milliseconds(),
+		})
+	})
+}
+
 // stepsCase: submissions with thousands of steps need a label that no executor has.
 func stepsCase(root, record string, trouble bool) *world {
+	return hopelessCase(root, record, trouble, func(w *world) {
+		for range hopelessNumber {
+			s := &sub{Spec: "release"}
+			for range hopelessSteps {
+				s.Steps = append(s.Steps, &step{Count: 1, CPU: 100, Requires: missingLabel, workMs: 500})
+			}
+			w.submit(s)
+			time.Sleep(hopelessGap)
+		}
+	})
+}
+
+// hopelessCase plays small submissions and one that lasts, beside those that handIn hands in.
+func hopelessCase(root, record string, trouble bool, handIn func(w *world)) *world {
 	w := newWorld(root, record, 6, 66, func(int) string { return "a" })
 	lasting := &sub{Spec: "watch", Steps: []*step{{Count: 6, CPU: 3200, MemMB: 6400, EstimateMs: 320, LongRunning: true}}}
 	w.submit(lasting)
@@ -337,14 +370,7 @@
 	if trouble {
 		group.Go(func() {
 			time.Sleep(firstHopeless)
-			for range hopelessNumber {
-				s := &sub{Spec: "release"}
-				for range hopelessSteps {
-					s.Steps = append(s.Steps, &step{Count: 1, CPU: 100, Requires: "c", workMs: 500})
-				}
-				w.submit(s)
-				time.Sleep(hopelessGap)
-			}
+			handIn(w)
 		})
 	}
 	var all []*sub
