--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -20,7 +20,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
 	}
-	cases := map[string]func(root, record string, trouble bool) *world{"gang": gangCase, "crash": crashCase, "mix": mixCase, "schedule": scheduleCase, "steps": stepsCase}
+	cases := map[string]func(root, record string, trouble bool) *world{"gang": gangCase, "crash": crashCase, "mix": mixCase, "schedule": scheduleCase, "steps": stepsCase, "wide": wideCase}
 	play, ok := cases[os.Args[1]]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "unknown case", os.Args[1])
@@ -361,6 +361,32 @@
 	})
 }
 
+// Figures of wideCase: the submissions come at less than the usual rate of their class, 7 a second.
+const (
+	wideNumber = 130
+	wideGap    = 150 * time.Millisecond
+	wideTasks  = 10_000
+)
+
+// wideCase: many submissions have thousands of tasks, which wait for room.
+func wideCase(root, record string, trouble bool) *world {
+	w := hopelessCase(root, record, trouble, func(w *world) {
+		var group sync.WaitGroup
+		for range wideNumber {
+			s := &sub{Spec: "release", Steps: []*step{{Count: wideTasks, CPU: 1800, MemMB: 3200, EstimateMs: 2200, workMs: 2200}}}
+			group.Go(func() { w.submit(s) })
+			time.Sleep(wideGap)
+		}
+		group.Wait()
+	})
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, v := range w.vms {
+		w.record("%s was killed %d times for its memory", v.name, v.overLimit)
+	}
+	return w
+}
+
 // hopelessCase plays small submissions and one that lasts, beside those that handIn hands in.
 func hopelessCase(root, record string, trouble bool, handIn func(w *world)) *world {
 	w := newWorld(root, record, 6, 66, func(int) string { return "a" })
