--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -20,7 +21,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
 	}
-	cases := map[string]func(root, record string, trouble bool) *world{"gang": gangCase, "crash": crashCase, "mix": mixCase, "schedule": scheduleCase, "steps": stepsCase, "wide": wideCase}
+	cases := map[string]func(root, record string, trouble bool) *world{"gang": gangCase, "crash": crashCase, "mix": mixCase, "schedule": scheduleCase, "steps": stepsCase, "wide": wideCase, "labels": labelsCase}
 	play, ok := cases[os.Args[1]]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "unknown case", os.Args[1])
@@ -41,7 +42,7 @@
 
 // gangCase: a checkpointable gang loses a member with its executor, and starts again.
 func gangCase(root, record string, trouble bool) *world {
-	w := newWorld(root, record, 6, 24, func(int) string { return "a" })
+	w := newWorld(root, record, 6, 24, usualRack, func(int) string { return "a" })
 	var all []*sub
 	for range 8 {
 		s := &sub{Spec: "certificates", Steps: []*step{{Count: 6, CPU: 1800, MemMB: 3200, EstimateMs: 20000, Checkpointable: true, Gang: true, workMs: 20000}}}
@@ -90,7 +91,7 @@
 
 // crashCase: the only executor that suits a task crashes three times, one second each, once in four seconds.
 func crashCase(root, record string, trouble bool) *world {
-	w := newWorld(root, record, 6, 66, func(i int) string {
+	w := newWorld(root, record, 6, 66, usualRack, func(i int) string {
 		if i == 0 {
 			return "b"
 		}
@@ -113,7 +114,11 @@
 
 // mixCase: all kinds of work under random disturbances.
 func mixCase(root, record string, trouble bool) *world {
-	w := newWorld(root, record, 6, 24, func(i int) string {
+	executors, err := strconv.Atoi(os.Getenv("EXECUTORS"))
+	if err != nil {
+		executors = 24
+	}
+	w := newWorld(root, record, 6, executors, usualRack, func(i int) string {
 		if i%4 == 0 {
 			return "b"
 		}
@@ -128,7 +133,7 @@
 	}
 	end := time.Now().Add(60 * time.Second)
 	for time.Now().Before(end) {
-		time.Sleep(rand.N(300 * time.Millisecond))
+		time.Sleep(rand.N(7 * time.Second / time.Duration(executors)))
 		s := randomSub()
 		group.Go(func() {
 			if w.submit(s) {
@@ -136,8 +141,8 @@
 				all = append(all, s)
 				mu.Unlock()
 			}
-			if rand.IntN(8) == 0 {
-				time.Sleep(rand.N(5 * time.Second))
+			if rand.IntN(8) == 0 || s.Steps[0].LongRunning {
+				time.Sleep(rand.N(20 * time.Second))
 				w.cancel(s)
 			}
 		})
@@ -176,6 +181,19 @@
 		}
 		s.Steps = append(s.Steps, st)
 	}
+	if rand.IntN(12) == 0 {
+		st := &step{Count: 1 + rand.IntN(6), CPU: 1000 + rand.Int64N(6000), MemMB: 2000 + rand.Int64N(8000), EstimateMs: 320, LongRunning: true, MayMiss: rand.IntN(3), AntiAffinity: rand.IntN(3)}
+		if rand.IntN(2) == 0 {
+			st.Image, st.TargetMs = fmt.Sprintf("serve-%d", rand.IntN(4)), 40
+		}
+		s.Steps, s.hopeless = []*step{st}, false
+		return s
+	}
+	for _, st := range s.Steps {
+		if !st.Gang && rand.IntN(4) == 0 {
+			st.Image, st.Fills = fmt.Sprintf("fill-%d", rand.IntN(6)), true
+		}
+	}
 	if rand.IntN(4) == 0 {
 		s.MaxRuns = 1 + rand.IntN(5)
 		s.FirstDueMs = time.Now().UnixMilli() + rand.Int64N(4000) - 1000
@@ -316,6 +334,52 @@
 	f()
 }
 
+// Figures of labelsCase: two kinds of executors fill a rack each, and one more of the second stands in another rack.
+const (
+	labelRacks     = 8
+	labelRackSize  = 10
+	kindOfStep0    = "b"
+	kindOfStep1    = "c"
+	rackOfStep0    = 0
+	rackOfStep1    = 1
+	rackOfOther    = 2
+	labelWorkMs    = 3000
+	labelTasks     = 2
+	labelNumber    = 6
+	otherIsLostAt  = 1500 * time.Millisecond
+	longestLabelMs = 40 * time.Second
+)
+
+// labelsCase: the steps of submissions need executors of two kinds, and one of these is lost for good.
+func labelsCase(root, record string, trouble bool) *world {
+	other := rackOfOther * labelRackSize
+	w := newWorld(root, record, 6, labelRacks*labelRackSize, labelRackSize, func(i int) string {
+		switch {
+		case i/labelRackSize == rackOfStep0:
+			return kindOfStep0
+		case i/labelRackSize == rackOfStep1, i == other:
+			return kindOfStep1
+		}
+		return "a"
+	})
+	var all []*sub
+	for range labelNumber {
+		s := &sub{Spec: "certificates", Steps: []*step{
+			{Count: labelTasks, CPU: 1800, MemMB: 3200, EstimateMs: labelWorkMs, Requires: kindOfStep0, workMs: labelWorkMs},
+			{Count: labelTasks, CPU: 1800, MemMB: 3200, EstimateMs: labelWorkMs, Requires: kindOfStep1, DependsOn: []int{0}, workMs: labelWorkMs},
+		}}
+		w.submit(s)
+		all = append(all, s)
+	}
+	if trouble {
+		time.Sleep(otherIsLostAt)
+		w.execs[other].crash(time.Hour, false)
+	}
+	w.followAll(all, longestLabelMs)
+	w.judgeIdle(nil, all)
+	return w
+}
+
 // Figures of scheduleCase and stepsCase.
 const (
 	trafficTime   = 30 * time.Second
@@ -389,7 +453,7 @@
 
 // hopelessCase plays small submissions and one that lasts, beside those that handIn hands in.
 func hopelessCase(root, record string, trouble bool, handIn func(w *world)) *world {
-	w := newWorld(root, record, 6, 66, func(int) string { return "a" })
+	w := newWorld(root, record, 6, 66, usualRack, func(int) string { return "a" })
 	lasting := &sub{Spec: "watch", Steps: []*step{{Count: 6, CPU: 3200, MemMB: 6400, EstimateMs: 320, LongRunning: true}}}
 	w.submit(lasting)
 	var group sync.WaitGroup
@@ -455,6 +519,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.record("states at the end: %v", states)
+	if lasting == nil {
+		return
+	}
 	for i := range lasting.Steps[0].Count {
 		if task := fmt.Sprintf("%s.0.0.%d", lasting.id, i); !ran[task] {
 			w.judge.broken("LOST", "%s lasts and has not been running for %v", task, idleLimit)
--- a/review/standin3/world.go
+++ b/review/standin3/world.go
@@ -77,8 +77,11 @@
 	far          bool
 }{{"ga-north-a", "ga-north", false}, {"ga-south-a", "ga-south", true}, {"ga-north-b", "ga-north", false}}
 
+// usualRack is the number of executors in a rack of a small deployment.
+const usualRack = 11
+
 // newWorld starts a store, executors and VMs, and waits until all VMs are ready.
-func newWorld(root, record string, vmCount, execCount int, kindOf func(int) string) *world {
+func newWorld(root, record string, vmCount, execCount, rackSize int, kindOf func(int) string) *world {
 	out, err := os.Create(record)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -98,7 +101,6 @@
 		w.fatal("stopped")
 	}()
 	w.putConfig(1)
-	const rackSize = 11
 	for i := range execCount {
 		w.execs = append(w.execs, newExecutor(w, i, zones[i%len(zones)].name, fmt.Sprintf("r%d", i/rackSize), kindOf(i)))
 	}
