--- a/review/standin3/judge.go
+++ b/review/standin3/judge.go
@@ -24,6 +24,8 @@
 	cancelled time.Time // when its cancelling was acknowledged
 	cancelTry bool
 	lastState string
+	body      string
+	refused   bool // all tries were answered with 429, 503 or 404
 }
 
 type step struct {
@@ -81,6 +83,9 @@
 func (j *judge) started(r *run, o order, late bool) {
 	s := j.w.subs[idOf(r.task)]
 	st := s.Steps[stepOf(r.task)]
+	if s.refused {
+		j.broken("REFUSED", "%s starts, and all tries to hand its submission in were refused", r.task)
+	}
 	if o.Spec != s.Spec {
 		j.broken("UNASKED", "%s run %d has another spec", r.task, r.number)
 	}
@@ -245,11 +250,14 @@
 	const shown = 300
 	w.record("hand in %s, %d bytes: %s", s.id, len(body), body[:min(len(body), shown)])
 	w.mu.Unlock()
+	s.body = string(body)
 	first := rand.IntN(len(w.vms))
+	refused := true
 	for try := range submitTries {
 		v := w.vms[(first+try)%len(w.vms)]
 		status, _ := w.call(v, http.MethodPost, s.id, string(body))
 		w.note("POST %s at %s: %d", s.id, v.name, status)
+		refused = refused && (status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable || status == http.StatusNotFound)
 		if status/100 == 2 {
 			w.mu.Lock()
 			s.accepted, s.acceptAt = true, time.Now()
@@ -258,9 +266,19 @@
 		}
 		time.Sleep(300 * time.Millisecond)
 	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	s.refused = refused
 	return false
 }
 
+// again sends an accepted submission once more.
+func (w *world) again(s *sub) {
+	v := w.vms[rand.IntN(len(w.vms))]
+	status, _ := w.call(v, http.MethodPost, s.id, s.body)
+	w.note("POST again %s at %s: %d", s.id, v.name, status)
+}
+
 // state asks for the state of a submission, "" without an answer.
 func (w *world) state(s *sub) string {
 	v := w.vms[rand.IntN(len(w.vms))]
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -141,6 +141,9 @@
 				all = append(all, s)
 				mu.Unlock()
 			}
+			if s.accepted && rand.IntN(4) == 0 {
+				time.AfterFunc(rand.N(6*time.Second), func() { w.again(s) })
+			}
 			if rand.IntN(8) == 0 || s.Steps[0].LongRunning {
 				time.Sleep(rand.N(20 * time.Second))
 				w.cancel(s)
@@ -214,7 +217,7 @@
 		}
 		v := w.vms[rand.IntN(len(w.vms))]
 		e := w.execs[rand.IntN(len(w.execs))]
-		switch rand.IntN(16) {
+		switch rand.IntN(20) {
 		case 0:
 			v.restart(rand.N(2 * time.Second))
 		case 1:
@@ -294,6 +297,36 @@
 				w.set(func() { delete(w.evacuated, z); w.record("take back %s", z) })
 				w.store.Put("op", "evacuate/"+z, "")
 			})
+		case 16:
+			w.set(func() { w.version += 1 + rand.IntN(3); w.record("config %d", w.version) })
+			w.putConfig(w.version)
+		case 17:
+			w.note("all partitions are dealt anew")
+			w.store.Redeal(rand.IntN(2) == 0)
+		case 18:
+			w.note("store is silent to %s", v.name)
+			v.mu.Lock()
+			v.silent = true
+			v.mu.Unlock()
+			time.AfterFunc(rand.N(8*time.Second), func() {
+				v.mu.Lock()
+				v.silent = false
+				v.mu.Unlock()
+			})
+		case 19:
+			w.note("store is slow")
+			for _, v := range w.vms {
+				v.mu.Lock()
+				v.slow = 300 * time.Millisecond
+				v.mu.Unlock()
+			}
+			time.AfterFunc(4*time.Second, func() {
+				for _, v := range w.vms {
+					v.mu.Lock()
+					v.slow = 0
+					v.mu.Unlock()
+				}
+			})
 		case 12, 13:
 			d := rand.N(5 * time.Second)
 			w.note("freeze %s for %v", v.name, d)
--- a/review/standin3/world.go
+++ b/review/standin3/world.go
@@ -51,6 +51,7 @@
 	gangs     map[string]*gang
 	seq       int
 	stopping  bool
+	version   int                  // of the configuration
 	evacuated map[string]time.Time // since when, by zone
 }
 
@@ -100,7 +101,8 @@
 		<-stopped
 		w.fatal("stopped")
 	}()
-	w.putConfig(1)
+	w.version = 1
+	w.putConfig(w.version)
 	for i := range execCount {
 		w.execs = append(w.execs, newExecutor(w, i, zones[i%len(zones)].name, fmt.Sprintf("r%d", i/rackSize), kindOf(i)))
 	}
@@ -165,6 +167,8 @@
 	lostShare float64 // of the appends that are done and not answered
 	lateShare float64 // of the appends that are done 1 to 6 s later and not answered
 	down      bool    // the store answers 503
+	silent    bool    // the store does not answer
+	slow      time.Duration
 }
 
 // loopback is the address of all VMs of this process, so that two plays beside each other share no port.
@@ -381,12 +385,17 @@
 func (v *vm) storeHandler(delay time.Duration) http.Handler {
 	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		v.mu.Lock()
-		lost, late, down := v.lostShare, v.lateShare, v.down
+		lost, late, down, silent, slow := v.lostShare, v.lateShare, v.down, v.silent, v.slow
 		v.mu.Unlock()
 		if down {
 			rw.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
+		if silent {
+			<-r.Context().Done()
+			panic(http.ErrAbortHandler)
+		}
+		time.Sleep(slow)
 		isAppend := r.URL.Path == "/api/log-append"
 		if !isAppend {
 			time.Sleep(delay)
