--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -21,7 +21,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
 	}
-	cases := map[string]func(root, record string, trouble bool) *world{"gang": gangCase, "crash": crashCase, "mix": mixCase, "schedule": scheduleCase, "steps": stepsCase, "wide": wideCase, "labels": labelsCase}
+	cases := map[string]func(root, record string, trouble bool) *world{"mix": mixCase, "schedule": scheduleCase, "steps": stepsCase, "wide": wideCase, "labels": labelsCase}
 	play, ok := cases[os.Args[1]]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "unknown case", os.Args[1])
@@ -40,39 +40,6 @@
 	os.Exit(1)
 }
 
-// gangCase: a checkpointable gang loses a member with its executor, and starts again.
-func gangCase(root, record string, trouble bool) *world {
-	w := newWorld(root, record, 6, 24, usualRack, func(int) string { return "a" })
-	var all []*sub
-	for range 8 {
-		s := &sub{Spec: "certificates", Steps: []*step{{Count: 6, CPU: 1800, MemMB: 3200, EstimateMs: 20000, Checkpointable: true, Gang: true, workMs: 20000}}}
-		w.submit(s)
-		all = append(all, s)
-	}
-	if trouble {
-		for range 5 {
-			time.Sleep(5300 * time.Millisecond)
-			if e := w.executorWithRun(); e != nil {
-				e.crash(3*time.Second, false)
-			}
-		}
-	}
-	w.followAll(all, 50*time.Second)
-	return w
-}
-
-// executorWithRun returns an executor that runs a task.
-func (w *world) executorWithRun() *executor {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	for _, i := range rand.Perm(len(w.execs)) {
-		if e := w.execs[i]; e.up && len(e.running) > 0 {
-			return e
-		}
-	}
-	return nil
-}
-
 // followAll follows submissions until all have ended or a time is over.
 func (w *world) followAll(all []*sub, limit time.Duration) {
 	until := time.Now().Add(limit)
@@ -89,29 +56,6 @@
 	group.Wait()
 }
 
-// crashCase: the only executor that suits a task crashes three times, one second each, once in four seconds.
-func crashCase(root, record string, trouble bool) *world {
-	w := newWorld(root, record, 6, 66, usualRack, func(i int) string {
-		if i == 0 {
-			return "b"
-		}
-		return "a"
-	})
-	s := &sub{Spec: "certificates", Steps: []*step{{Count: 2, CPU: 1800, MemMB: 3200, EstimateMs: 5000, Requires: "b", workMs: 5000}}}
-	w.submit(s)
-	if trouble {
-		go func() {
-			for range 3 {
-				time.Sleep(3 * time.Second)
-				w.execs[0].crash(time.Second, false)
-				time.Sleep(time.Second)
-			}
-		}()
-	}
-	w.followAll([]*sub{s}, 40*time.Second)
-	return w
-}
-
 // mixCase: all kinds of work under random disturbances.
 func mixCase(root, record string, trouble bool) *world {
 	executors, err := strconv.Atoi(os.Getenv("EXECUTORS"))
@@ -369,18 +313,18 @@
 
 // Figures of labelsCase: two kinds of executors fill a rack each, and one more of the second stands in another rack.
 const (
-	labelRacks     = 8
-	labelRackSize  = 10
-	kindOfStep0    = "b"
-	kindOfStep1    = "c"
-	rackOfStep0    = 0
-	rackOfStep1    = 1
-	rackOfOther    = 2
-	labelWorkMs    = 3000
-	labelTasks     = 2
-	labelNumber    = 6
-	otherIsLostAt  = 1500 * time.Millisecond
-	longestLabelMs = 40 * time.Second
+	labelRacks      = 8
+	labelRackSize   = 10
+	kindOfStep0     = "b"
+	kindOfStep1     = "c"
+	rackOfStep0     = 0
+	rackOfStep1     = 1
+	rackOfOther     = 2
+	labelWorkMs     = 3000
+	labelTasks      = 2
+	labelNumber     = 6
+	otherIsLostAt   = 1500 * time.Millisecond
+	labelFollowTime = 40 * time.Second
 )
 
 // labelsCase: the steps of submissions need executors of two kinds, and one of these is lost for good.
@@ -408,7 +352,7 @@
 		time.Sleep(otherIsLostAt)
 		w.execs[other].crash(time.Hour, false)
 	}
-	w.followAll(all, longestLabelMs)
+	w.followAll(all, labelFollowTime)
 	w.judgeIdle(nil, all)
 	return w
 }
