--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -7,4 +7,4 @@
 for program in "$root/target/peridotlock" "$root/target/review3"; do
   [ -x "$program" ] || { echo "$program is missing" >&2; exit 2; }
 done
-exec timeout --kill-after=2 117 "$root/target/review3" steps "$root" "$here/record.txt"
+exec timeout --preserve-status --kill-after=2 117 "$root/target/review3" steps "$root" "$here/record.txt"
--- a/review/standin3/judge.go
+++ b/review/standin3/judge.go
@@ -63,14 +63,15 @@
 	doneTasks  map[string]bool   // has ended done
 	doneNoted  map[string]bool
 	lastStart  map[string]time.Time
-	failed     map[string]int // ends failed that were noted
-	failedEnds map[string]int // all ends failed
+	lastEnd    map[string]time.Time // of a run on an executor, however it ended
+	failed     map[string]int       // ends failed that were noted
+	failedEnds map[string]int       // all ends failed
 	values     map[string]map[string]bool
 	breaks     []string
 }
 
 func newJudge(w *world) *judge {
-	return &judge{w: w, runs: map[string][]*run{}, doneTasks: map[string]bool{}, doneNoted: map[string]bool{}, lastStart: map[string]time.Time{},
+	return &judge{w: w, runs: map[string][]*run{}, doneTasks: map[string]bool{}, doneNoted: map[string]bool{}, lastStart: map[string]time.Time{}, lastEnd: map[string]time.Time{},
 		failed: map[string]int{}, failedEnds: map[string]int{}, values: map[string]map[string]bool{}}
 }
 
@@ -192,6 +193,7 @@
 }
 
 func (j *judge) remove(r *run) {
+	j.lastEnd[r.task] = time.Now()
 	list := j.runs[r.task]
 	for i, other := range list {
 		if other == r {
