Dispatch: bound the work of a plan

All runs lapsed, and other accepted submissions stayed queued on idle executors, under each next owner as well.

Cause: a plan walked all open tasks of a submission for each of its waiting steps (hasCurrentRuns, isTooLate, chainMs), and ranked and examined everything that waits. It shares its goroutine with the renewal of leases, and its cost had no bound. Related loops did the same: releaseDue, ready, undo, countOf, freeWithoutBatch, isContended, reserveRoom, executorsWithoutAdvice, noteUnplaced, progress.

Change: state is kept as it changes in place of walks; a plan ranks at most 2,048 steps of each class, those beyond take turns with steps that were examined; it examines them until it has considered 100,000 executors for a class, and the next plan goes on there. While less waits, each plan examines all in the same order as before. Metrics for the time of plans, the backlog, and cut plans. TestBlocksAreBounded sets up progress by hand, so it notes that as the code does; its checks are as they were.

--- a/dispatch/firststart.go
+++ b/dispatch/firststart.go
@@ -80,10 +80,10 @@
 
 // notStarted counts the released steps that wait for their first start.
 func (c *Core) notStarted() (counts [StartClasses]int) {
-	for _, st := range c.waiting {
+	c.eachWaiting(func(st *step) {
 		if !st.started && !st.job.borrowed && len(st.waiting) > 0 {
 			counts[st.startClass()]++
 		}
-	}
+	})
 	return counts
 }
--- a/dispatch/overdue.go
+++ b/dispatch/overdue.go
@@ -75,11 +75,11 @@
 // maxRefusedWait, of batch work only those of submissions without runs.
 func (c *Core) countOverdueSteps(now time.Duration) int {
 	n := 0
-	for _, st := range c.waiting {
+	c.eachWaiting(func(st *step) {
 		if len(st.waiting) > 0 && st.hasOverdueWait(now) {
 			n++
 		}
-	}
+	})
 	return n
 }
 
@@ -118,18 +118,33 @@
 // hasCurrentRuns reports whether a run of the job was planned or known to exist recently. Others are
 // on executors that don't answer, and may have ended long before their leases do.
 func (j *job) hasCurrentRuns(now time.Duration) bool {
-	for _, o := range j.occurrences {
-		for _, st := range o.steps {
-			if slices.ContainsFunc(st.tasks, func(t *task) bool {
-				return t.run != nil && now-max(t.run.plannedAt, t.run.confirmedAt) <= maxReportAge
-			}) {
-				return true
-			}
+	if j.currentRun != nil && j.currentRun.isCurrent(now) {
+		return true
+	}
+	if j.checkedAt == now {
+		return false
+	}
+	for r := range j.runs {
+		if r.isCurrent(now) {
+			j.currentRun = r
+			return true
 		}
 	}
+	j.currentRun, j.checkedAt = nil, now
 	return false
 }
 
+// isCurrent reports whether r is the run of its task, and was planned or known to exist recently.
+func (r *run) isCurrent(now time.Duration) bool {
+	return r.task.run == r && now-max(r.plannedAt, r.confirmedAt) <= maxReportAge
+}
+
+// confirm notes that a run is known to exist.
+func (r *run) confirm(now time.Duration) {
+	r.confirmedAt = now
+	r.task.step.job.checkedAt = -1
+}
+
 // pausedCandidates returns the executors that are paused after failed runs, or wait for a trial.
 func (c *Core) pausedCandidates(now time.Duration) []*candidate {
 	return c.candidatesOf(func(e *executor) bool { return c.isAvailable(e, now) && e.breaker.open })
@@ -194,7 +209,16 @@
 		return cmp.Or(cmp.Compare(x.turnSince(), y.turnSince()), cmp.Compare(x.job.sub.AcceptedMs, y.job.sub.AcceptedMs))
 	})
 	full := map[string]bool{} // services
+	before, isCut := c.work, false
 	for _, st := range turns {
+		if st.turnRound == c.turnRound {
+			continue
+		}
+		if isCut = c.work-before >= maxPlanWork; isCut {
+			break
+		}
+		st.turnRound = c.turnRound
+		c.work++
 		service := st.job.sub.Service
 		if !full[service] {
 			full[service] = !c.isMostlyFree(service, candidates)
@@ -207,6 +231,9 @@
 			c.placeOneOverdue(b, st, candidates, now)
 		}
 	}
+	if !isCut {
+		c.turnRound++
+	}
 }
 
 // placeOneOverdue places the first waiting task of a step that is not a stray, if it can.
@@ -234,6 +261,7 @@
 	var best *candidate
 	bestScore := 0.0
 	for _, cand := range overdueCandidates(t, candidates, c.paused, now) {
+		c.work += 1 + len(cand.executor.runs)/runsPerWork
 		if _, ok := t.step.ticketFor(cand.executor, now); !ok {
 			continue
 		}
@@ -320,13 +348,17 @@
 // capacityOf returns a service's capacity on the candidates and the paused executors, and how much of
 // it runs reserve.
 func (c *Core) capacityOf(service string, candidates []*candidate) (capacity, used fleet.Resources) {
-	for _, cand := range slices.Concat(candidates, c.paused) {
-		if cand.executor.info.Service == service {
-			capacity = capacity.Add(cand.host.Size)
-			used = used.Add(cand.host.Reserved).Sub(cand.reservation)
+	if !c.usage.isOf(candidates, c.placements) {
+		c.usage = usage{candidates: candidates, changes: c.placements, services: map[string]serviceUse{}}
+		for _, cand := range slices.Concat(candidates, c.paused) {
+			u := c.usage.services[cand.executor.info.Service]
+			u.capacity = u.capacity.Add(cand.host.Size)
+			u.used = u.used.Add(cand.host.Reserved).Sub(cand.reservation)
+			c.usage.services[cand.executor.info.Service] = u
 		}
 	}
-	return capacity, used
+	u := c.usage.services[service]
+	return u.capacity, u.used
 }
 
 func isMostFree(size, used fleet.Resources) bool {
--- a/dispatch/overdue_bench_test.go
+++ b/dispatch/overdue_bench_test.go
@@ -67,3 +67,21 @@
 	}
 	return c, now
 }
+
+// BenchmarkPlanLoads measures plans with work that callers may send and that the executors can't take.
+func BenchmarkPlanLoads(b *testing.B) {
+	for _, load := range planLoads {
+		b.Run(load.name, func(b *testing.B) {
+			sim := newSimulation(loadExecutors, 1)
+			sim.run(10 * time.Second)
+			load.submit(sim)
+			sim.run(3 * time.Second)
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := sim.core.Plan(sim.now, sim.now.Milliseconds()); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- a/dispatch/placewait.go
+++ b/dispatch/placewait.go
@@ -205,28 +205,25 @@
 	if due == 0 {
 		due = st.releasedMs
 	}
-	objective := time.Duration(j.stretch*float64(o.chainMs()))*time.Millisecond + j.objective
-	return objective - time.Duration(nowMs-due+o.chainFromMs(st.index))*time.Millisecond
-}
-
-// chainFromMs returns the estimated duration of the longest chain of dependent steps that begins with a step.
-func (o *occurrence) chainFromMs(index int) int64 {
-	tails := make([]int64, len(o.steps))
-	for i := len(o.steps) - 1; i >= index; i-- {
-		tails[i] += o.steps[i].spec.EstimateMs
-		for _, d := range o.steps[i].spec.DependsOn {
-			tails[d] = max(tails[d], tails[i])
-		}
-	}
-	return tails[index]
+	objective := time.Duration(j.stretch*float64(j.chain()))*time.Millisecond + j.objective
+	return objective - time.Duration(nowMs-due+j.chainFromMs(st.index))*time.Millisecond
 }
 
 // isContended reports whether batch work of other steps was refused all executors of the service.
 func (c *Core) isContended(st *step) bool {
-	return slices.ContainsFunc(c.waiting, func(other *step) bool {
+	contends := func(other *step) bool {
 		return other != st && other.unplacedSince > 0 && other.place.since == 0 && !other.spec.LongRunning &&
 			other.job.acceptsStarts() && other.job.sub.Service == st.job.sub.Service
-	})
+	}
+	if other := c.contending; other != nil && len(other.waiting) > 0 && contends(other) {
+		return true
+	}
+	c.work += len(c.waiting)
+	if i := slices.IndexFunc(c.waiting, contends); i >= 0 {
+		c.contending = c.waiting[i]
+		return true
+	}
+	return false
 }
 
 // endPlaceWait ends the wait of a step for places on its rack, if there is one.
--- a/dispatch/progressparts_test.go
+++ b/dispatch/progressparts_test.go
@@ -253,6 +253,7 @@
 			executor := core.executor(provider.ExecutorID(strings.Repeat("e", maxKeyBytes)), 0)
 			for _, task := range j.occurrence(0).steps[0].tasks {
 				task.runNumber, task.failures, task.checkpoint = math.MaxInt32, math.MaxInt32, checkpoint
+				task.touch()
 				task.run = &run{executor: executor}
 			}
 			records, err := core.progressRecords(j)
--- a/dispatch/progressrecord.go
+++ b/dispatch/progressrecord.go
@@ -188,8 +188,8 @@
 // progress returns what is to be stored of a job.
 func (j *job) progress() progress {
 	p := progress{State: byte(j.state)}
-	for _, number := range slices.Sorted(maps.Keys(j.occurrences)) {
-		for _, st := range j.occurrences[number].steps {
+	for _, number := range slices.Sorted(maps.Keys(j.touched)) {
+		for _, st := range j.touched[number].steps {
 			for _, t := range st.tasks {
 				if t.run != nil || !j.state.IsFinal() && (t.runNumber > 0 || t.phase == taskDone) {
 					p.Tasks = append(p.Tasks, t.progress())
--- a/dispatch/refusal.go
+++ b/dispatch/refusal.go
@@ -69,7 +69,7 @@
 	if st.unplacedSince == 0 {
 		st.unplacedSince = now
 	}
-	if now-st.unplacedSince < waitingLogAfter || now-st.waitingLoggedAt < waitingLogInterval && st.waitingLoggedAt > 0 {
+	if now-st.unplacedSince < waitingLogAfter || now-st.waitingLoggedAt < waitingLogInterval && st.waitingLoggedAt > 0 || !c.allowsWaitingLine(now) {
 		return
 	}
 	st.waitingLoggedAt = now
@@ -90,3 +90,12 @@
 		Age: now - st.unplacedSince,
 	})
 }
+
+// allowsWaitingLine reports whether another line may say why a step waits.
+func (c *Core) allowsWaitingLine(now time.Duration) bool {
+	if now-c.waitingLinesAt >= time.Second {
+		c.waitingLines, c.waitingLinesAt = 0, now
+	}
+	c.waitingLines++
+	return c.waitingLines <= maxWaitingLines
+}
--- a/dispatch/reserved.go
+++ b/dispatch/reserved.go
@@ -72,6 +72,7 @@
 	c.reservations = Reservations{}
 	c.notStartedSteps = c.notStarted()
 	c.overdueSteps = c.countOverdueSteps(now)
+	c.countBacklog()
 	var overdue []*run
 	for _, e := range c.executors {
 		if r := c.compareReservationsOf(e, now); r != nil && now >= e.unreportedLogAt {
--- a/dispatch/stray.go
+++ b/dispatch/stray.go
@@ -31,6 +31,7 @@
 	t.stopWaiting()
 	t.run = r
 	t.phase = taskPlaced
+	t.touch()
 	e.add(r)
 	c.markDirty(t.step.job)
 	c.addEvent("adopt", r, "listed by its executor", 0)
