--- a/node/fuzz_test.go
+++ b/node/fuzz_test.go
@@ -131,11 +131,13 @@
 	returned := add(cell.ReturnRecord(id, 1, []cell.Loan{{Index: 1, Run: 3, Crashes: 3, Suspicion: 0.999}}))
 	load := add(cell.LoadRecord(1, cell.Load{Free: fleet.Resources{MilliCPU: 1 << 62}, Gaps: []cell.Gap{{Service: "s", Size: fleet.Resources{MilliCPU: 8000, MemoryMB: 8000}}}}))
 	layout := add(cell.LayoutRecord(cell.Layout{Cells: -1}))
+	moved := add(cell.ProgressMoveRecord(id, 1, []byte{0x82, 0x01, 0x81, 0x88, 0, 0, 0, 0xf5, 1, 0x60, 0, 0x60}, []int{0}))
+	oddMove := add(cell.ProgressMoveRecord(id, 1, []byte{0xff}, []int{-1, 300}))
 	shares := add(cell.SharesRecord(0, quota.Given{"t": {1: 1000}}))
 	oddShares := add(cell.SharesRecord(1, quota.Given{"t": {1: -1, 300: 1 << 60}}))
 	use := add(cell.UseRecord(1, map[string]quota.Demand{"t": {Used: 10, Next: 1 << 19, Need: 1 << 20}}))
 	oddUse := add(cell.UseRecord(0, map[string]quota.Demand{"t": {Used: 10, Next: -1, Need: 1 << 62}}))
-	for _, r := range []provider.KeyedRecord{shares, oddShares, use, oddUse, odd, loan, oddLoan, returned, load, layout, cell.MoveRecord(id, 1), cell.MoveRecord(id, 9), cell.StateRecord(id, 200), cell.CancelRecord(id)} {
+	for _, r := range []provider.KeyedRecord{shares, oddShares, use, oddUse, odd, loan, oddLoan, returned, load, layout, cell.MoveRecord(id, 1), cell.MoveRecord(id, 9), moved, oddMove, cell.StateRecord(id, 200), cell.CancelRecord(id)} {
 		f.Add(accepted.Key, accepted.Value, r.Key, r.Value)
 		f.Add(r.Key, r.Value, accepted.Key, accepted.Value)
 	}
