Drain: close no connection on which a request has begun to arrive

Cause: Shutdown and SetKeepAlivesEnabled(false) close connections that net/http takes for idle, which it does until it has read a whole header: those used before, and new ones after 5 s. The listener was closed with connections in its queue.

--- a/guard/guard.go
+++ b/guard/guard.go
@@ -53,9 +53,11 @@
 type Guard struct {
 	options Options
 
-	mu     sync.Mutex // protects the fields below and all accounts
-	ledger ledger
-	logged map[string]time.Time // last log line of each reason
+	mu       sync.Mutex // protects the fields below and all accounts
+	ledger   ledger
+	logged   map[string]time.Time // last log line of each reason
+	listener net.Listener         // nil before Listen
+	draining bool                 // Accept ends with its deadline
 }
 
 // New returns a Guard.
@@ -161,6 +163,9 @@
 		// Package net asks for the system's largest backlog. A later call changes it.
 		_ = raw.Control(func(fd uintptr) { _ = syscall.Listen(int(fd), g.options.Limits.Backlog) })
 	}
+	g.mu.Lock()
+	g.listener = l
+	g.mu.Unlock()
 	return listener{l, g}, nil
 }
 
@@ -193,11 +198,17 @@
 // Accept implements net.Listener. It closes connections for which there is no room.
 func (l listener) Accept() (net.Conn, error) {
 	for {
+		g := l.guard
 		inner, err := l.Listener.Accept()
 		if err != nil {
+			g.mu.Lock()
+			draining := g.draining
+			g.mu.Unlock()
+			if draining { // net/http would accept again after a timeout
+				err = net.ErrClosed
+			}
 			return nil, err
 		}
-		g := l.guard
 		g.mu.Lock()
 		a, victims := g.ledger.add(func() { inner.Close() })
 		g.mu.Unlock()
--- a/guard/ledger.go
+++ b/guard/ledger.go
@@ -29,7 +29,8 @@
 // account is what one connection holds.
 type account struct {
 	state   state
-	bytes   int64 // of its requests
+	changes uint64 // of state
+	bytes   int64  // of its requests
 	element *list.Element
 	open    bool
 	close   func() // closes the connection
@@ -70,6 +71,7 @@
 		return
 	}
 	a.state = s
+	a.changes++
 	switch {
 	case s == handling && a.element != nil:
 		l.waiting.Remove(a.element)
