Membership: name the newest generation once some cell has no owner

Cause: a member that keeps its only cell names the generation under which it held it. A cell that the group dealt it and took away again between two of its joins stays with it as well, and it never hears of it.

Change: it names the newest generation once the group has been unchanged for 0.6 s and some cell has no owner: no load of it for 1.5 s while others are published, or a load that says it is given up and unclaimed. TestTenureKeepsCellWhileGroupDealsAnew passes false for the new argument, and its checks are as they were.

--- a/cell/move_test.go
+++ b/cell/move_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
@@ -66,3 +67,34 @@
 		So(err, ShouldNotBeNil)
 	})
 }
+
+// TestUnownedCell guards against a silent log that looks like a cell without an owner.
+func TestUnownedCell(t *testing.T) {
+	Convey("Given the loads of two of three cells", t, func() {
+		r := NewReplica()
+		now := time.Hour
+		apply := func(record provider.KeyedRecord, err error) {
+			So(err, ShouldBeNil)
+			So(r.Apply(record, now), ShouldBeNil)
+		}
+		apply(LayoutRecord(Layout{Cells: 3}))
+		apply(LoadRecord(0, Load{}))
+		apply(LoadRecord(1, Load{}))
+		So(r.HasUnownedCell(now), ShouldBeTrue)
+		apply(LoadRecord(2, Load{}))
+		So(r.HasUnownedCell(now), ShouldBeFalse)
+		now += silentLoadAge
+		Convey("none has an owner, or the log is silent: nothing is known", func() {
+			So(r.HasUnownedCell(now), ShouldBeFalse)
+		})
+		Convey("the one that is silent while another is not has none", func() {
+			apply(LoadRecord(0, Load{}))
+			apply(LoadRecord(1, Load{}))
+			So(r.HasUnownedCell(now), ShouldBeTrue)
+			apply(LoadRecord(2, Load{}))
+			So(r.HasUnownedCell(now), ShouldBeFalse)
+			apply(LoadRecord(2, Load{Unclaimed: true}))
+			So(r.HasUnownedCell(now), ShouldBeTrue)
+		})
+	})
+}
--- a/node/confirm.go
+++ b/node/confirm.go
@@ -26,6 +26,22 @@
 	wasUnlisted bool          // a join in the term did not list the cell
 	confirming  bool          // a read of the newest claim is under way
 	retiredAt   time.Duration // boot time of the VM's decision to stop; 0 before
+	givenUpAt   time.Duration // since when the member asks the group to hand the cell over; 0 if it does not
+}
+
+// giveUp records since when the member asks the group to hand the cell over; 0 if it does not.
+func (t *term) giveUp(at time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.givenUpAt = at
+}
+
+// isUnclaimed reports whether the cell was given up so long ago that another VM would have claimed it, had
+// the group listed it there.
+func (t *term) isUnclaimed(now time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.givenUpAt > 0 && now-t.givenUpAt >= unclaimedAfter
 }
 
 // begin records that the claim of the term, which began at a time, is stored.
--- a/node/tenure.go
+++ b/node/tenure.go
@@ -10,6 +10,12 @@
 	// group to hand it over. A claim needs the end of the cell's partition, which moves
 	// with each append, so that the new owner could wait for ever at a slow store.
 	handoverTime = 2 * time.Second
+	// unclaimedAfter is the time after which a cell that was given up counts as unclaimed: the group hears of it at the next
+	// join, and the member that it lists the cell for at the one after that.
+	unclaimedAfter = 2 * joinInterval
+	// releaseTime is the time without a change in the group after which a member that keeps its only cell gives it up for
+	// the sake of a cell without an owner.
+	releaseTime = joinInterval
 )
 
 // tenure decides how long a member keeps cells that the group no longer lists for it. It does
@@ -22,6 +28,11 @@
 // The group reassigns a cell that it no longer lists only when its holder joins with the
 // generation that took it away, or a later one, or is silent. So a member that names an earlier
 // generation keeps the cell. It serves until a newer owner fences it, whatever the group lists.
+//
+// Load pattern: power returns, and all members join within a second. The group deals anew at each of these joins, also to
+// members that do not join in between. A cell that a member was dealt and that was taken away again before its next
+// join stays with that member as well, which has never heard of it, for as long as it names an earlier
+// generation. So it names the newest one once some cell has no owner.
 type tenure struct {
 	newest    int64         // generation last received
 	changedAt time.Duration // boot time at which newest was first received
@@ -30,8 +41,8 @@
 }
 
 // observe applies the answer to a join: the cells that this member holds and those that the
-// group lists for it. It returns the held cells to release now.
-func (t *tenure) observe(now time.Duration, generation int64, held []int, listed map[int]bool) (release []int) {
+// group lists for it. Unowned tells whether some cell has no owner. It returns the held cells to release now.
+func (t *tenure) observe(now time.Duration, generation int64, held []int, listed map[int]bool, unowned bool) (release []int) {
 	if generation != t.newest {
 		t.newest, t.changedAt = generation, now
 	}
@@ -47,7 +58,8 @@
 		t.named = generation
 		return nil
 	}
-	if t.keeps(now, len(held), len(unlisted), len(listed)) {
+	isHiding := unowned && generation != t.named && now-t.changedAt >= releaseTime
+	if !isHiding && t.keeps(now, len(held), len(unlisted), len(listed)) {
 		return t.expired(now, unlisted)
 	}
 	t.named = generation
--- a/node/tenure_test.go
+++ b/node/tenure_test.go
@@ -28,55 +28,55 @@
 	Convey("Given a member that holds cell 0 since generation 50", t, func() {
 		now := 10 * time.Second
 		tn := tenure{}
-		So(tn.observe(now, 50, []int{0}, cells(0)), ShouldBeEmpty)
+		So(tn.observe(now, 50, []int{0}, cells(0), false), ShouldBeEmpty)
 		So(tn.named, ShouldEqual, 50)
 
 		Convey("it keeps its only cell, and names the generation under which it held it", func() {
 			for generation := int64(51); generation < 80; generation++ {
 				now += 200 * ms
-				So(tn.observe(now, generation, []int{0}, nil), ShouldBeEmpty)
+				So(tn.observe(now, generation, []int{0}, nil, false), ShouldBeEmpty)
 				So(tn.named, ShouldEqual, 50)
 			}
 			now += time.Hour
-			So(tn.observe(now, 79, []int{0}, nil), ShouldBeEmpty)
+			So(tn.observe(now, 79, []int{0}, nil, false), ShouldBeEmpty)
 			So(tn.named, ShouldEqual, 50)
-			So(tn.observe(now, 80, []int{0}, cells(0)), ShouldBeEmpty)
+			So(tn.observe(now, 80, []int{0}, cells(0), false), ShouldBeEmpty)
 			So(tn.named, ShouldEqual, 80)
 		})
 		Convey("it names the newest generation once it holds no cell", func() {
-			So(tn.observe(now, 51, []int{0}, nil), ShouldBeEmpty)
+			So(tn.observe(now, 51, []int{0}, nil, false), ShouldBeEmpty)
 			tn.forget(0)
-			So(tn.observe(now, 51, nil, nil), ShouldBeEmpty)
+			So(tn.observe(now, 51, nil, nil, false), ShouldBeEmpty)
 			So(tn.named, ShouldEqual, 51)
 		})
 		Convey("it gives one of two cells up once the group has settled, and serves it on meanwhile", func() {
-			So(tn.observe(now, 51, []int{0, 1}, cells(1)), ShouldBeEmpty)
+			So(tn.observe(now, 51, []int{0, 1}, cells(1), false), ShouldBeEmpty)
 			So(tn.named, ShouldEqual, 50)
 			now += settleTime - ms
-			So(tn.observe(now, 52, []int{0, 1}, cells(1)), ShouldBeEmpty)
+			So(tn.observe(now, 52, []int{0, 1}, cells(1), false), ShouldBeEmpty)
 			So(tn.named, ShouldEqual, 50)
 			now += settleTime - ms
-			So(tn.observe(now, 52, []int{0, 1}, cells(1)), ShouldBeEmpty)
+			So(tn.observe(now, 52, []int{0, 1}, cells(1), false), ShouldBeEmpty)
 			So(tn.named, ShouldEqual, 50)
 			now += ms
-			So(tn.observe(now, 52, []int{0, 1}, cells(1)), ShouldBeEmpty)
+			So(tn.observe(now, 52, []int{0, 1}, cells(1), false), ShouldBeEmpty)
 			So(tn.named, ShouldEqual, 52)
 
 			Convey("it releases the cell if no new owner has fenced it within handoverTime", func() {
-				So(tn.observe(now+handoverTime-ms, 52, []int{0, 1}, cells(1)), ShouldBeEmpty)
-				So(tn.observe(now+handoverTime, 52, []int{0, 1}, cells(1)), ShouldResemble, []int{0})
+				So(tn.observe(now+handoverTime-ms, 52, []int{0, 1}, cells(1), false), ShouldBeEmpty)
+				So(tn.observe(now+handoverTime, 52, []int{0, 1}, cells(1), false), ShouldResemble, []int{0})
 				tn.forget(0)
-				So(tn.observe(now+handoverTime, 52, []int{0, 1}, cells(1)), ShouldBeEmpty)
+				So(tn.observe(now+handoverTime, 52, []int{0, 1}, cells(1), false), ShouldBeEmpty)
 			})
 			Convey("it keeps the cell if the group lists it again", func() {
-				So(tn.observe(now+100*ms, 53, []int{0, 1}, cells(0, 1)), ShouldBeEmpty)
-				So(tn.observe(now+handoverTime, 54, []int{0, 1}, cells(1)), ShouldBeEmpty)
+				So(tn.observe(now+100*ms, 53, []int{0, 1}, cells(0, 1), false), ShouldBeEmpty)
+				So(tn.observe(now+handoverTime, 54, []int{0, 1}, cells(1), false), ShouldBeEmpty)
 				So(tn.named, ShouldEqual, 53)
 			})
 		})
 		Convey("it gives its cell up for another one that the group lists for it", func() {
-			So(tn.observe(now, 51, []int{0}, cells(1)), ShouldBeEmpty)
-			So(tn.observe(now+settleTime, 51, []int{0, 1}, cells(1)), ShouldBeEmpty)
+			So(tn.observe(now, 51, []int{0}, cells(1), false), ShouldBeEmpty)
+			So(tn.observe(now+settleTime, 51, []int{0, 1}, cells(1), false), ShouldBeEmpty)
 			So(tn.named, ShouldEqual, 51)
 		})
 	})
@@ -126,7 +126,7 @@
 		m.owned[0] = o
 		elsewhere := provider.Assignment{Generation: 51}
 		now := boottime.Now()
-		m.tenure.observe(now, 50, []int{0}, map[int]bool{0: true})
+		m.tenure.observe(now, 50, []int{0}, map[int]bool{0: true}, false)
 		m.applyAssignment(context.Background(), elsewhere, now)
 		So(m.owned, ShouldContainKey, 0)
 		So(m.tenure.named, ShouldEqual, 50)
