--- a/dispatch/movedprogress_test.go
+++ b/dispatch/movedprogress_test.go
@@ -114,3 +114,23 @@
 		So(sim.starts, ShouldEqual, 0)
 	})
 }
+
+// TestMoveChecksAreBounded guards against owners that look at all tasks of a submission for each of its waiting steps.
+func TestMoveChecksAreBounded(t *testing.T) {
+	Convey("Given a submission of 7,000 steps that has had a run, and no executor for the others", t, func() {
+		sim := newSimulation(1, 1)
+		sim.core.options.Cells = 2
+		sim.submit(idA, newSubmission(append(repeated(6999, unsuitable(1)), tasks(1, 100*time.Millisecond))...))
+		sim.run(3 * time.Second)
+		So(sim.core.jobs[idA].hadRun, ShouldBeTrue)
+		total, offers := 0, 0
+		sim.runUntil(2*time.Second, func() bool {
+			before := sim.core.work
+			offers += len(sim.core.HandoverCandidates(sim.now))
+			total += sim.core.work - before
+			return false
+		})
+		So(offers, ShouldBeBetweenOrEqual, 1, 5)
+		So(total, ShouldBeLessThan, 5*(2*maxPlannedSteps+7000))
+	})
+}
--- a/dispatch/placewait.go
+++ b/dispatch/placewait.go
@@ -218,7 +218,7 @@
 	if other := c.contending; other != nil && len(other.waiting) > 0 && contends(other) {
 		return true
 	}
-	c.work += len(c.waiting)
+	c.work += len(c.waiting) / runsPerWork
 	if i := slices.IndexFunc(c.waiting, contends); i >= 0 {
 		c.contending = c.waiting[i]
 		return true
@@ -300,6 +300,7 @@
 // rank that wait for places there come first.
 func (c *Core) rackQueues(st *step, candidates []*candidate, now time.Duration) []*rackQueue {
 	var out []*rackQueue
+	c.work += len(candidates)
 	for _, cand := range candidates {
 		if st.isAwayOn(cand.executor) {
 			continue
--- a/dispatch/round.go
+++ b/dispatch/round.go
@@ -24,7 +24,7 @@
 	// maxPlanWork bounds the work of a plan for each class of steps, and that of placeInTurn. The step that reaches the
 	// bound is completed: that takes at most submission.MaxTasks times the executors of a cell.
 	maxPlanWork = 100_000
-	// runsPerWork is the number of an executor's runs that are looked at for one unit of work.
+	// runsPerWork is the number of runs, steps or tasks that are looked at for one unit of work.
 	runsPerWork = 16
 	// maxWaitingLines is the maximum number of lines in a second that say why a step waits.
 	maxWaitingLines = 100
