Gangs: all members resume from one checkpoint

Cause: each member was started with the newest checkpoint that this member had reported. The platform takes the value of any member for the gang, and wants the same one in all starts of a run.

Change: a gang has one checkpoint, the newest that a member has reported. Its members start from it and store it.

--- a/dispatch/progressrecord.go
+++ b/dispatch/progressrecord.go
@@ -401,7 +401,7 @@
 		p.Executor = string(t.strays[0].info.ID)
 	}
 	if !p.Done {
-		p.Checkpoint = t.checkpoint
+		p.Checkpoint = t.startCheckpoint()
 	}
 	return p
 }
