--- a/dispatch/round.go
+++ b/dispatch/round.go
@@ -81,10 +81,11 @@
 		c.backlog[class].added = append(c.backlog[class].added, st)
 		return
 	}
-	c.planSteps(st)
+	c.admitStep(st)
 }
 
-func (c *Core) planSteps(st *step) {
+// admitStep adds a step to Core.waiting.
+func (c *Core) admitStep(st *step) {
 	c.admissions++
 	st.admitted = c.admissions
 	c.planned[st.class()]++
@@ -152,7 +153,7 @@
 			continue
 		}
 		st.round, st.turnRound = 0, 0
-		c.planSteps(st)
+		c.admitStep(st)
 		places--
 	}
 }
--- a/node/tenure.go
+++ b/node/tenure.go
@@ -31,7 +31,7 @@
 //
 // Load pattern: power returns, and all members join within a second. The group deals anew at each of these joins, also to
 // members that do not join in between. A cell that a member was dealt and that was taken away again before its next
-// join stays with that member as well, which has never heard of it, for as long as it names an earlier
+// join stays with that member as well, which does not know of it, for as long as it names an earlier
 // generation. So it names the newest one once some cell has no owner.
 type tenure struct {
 	newest    int64         // generation last received
@@ -41,7 +41,7 @@
 }
 
 // observe applies the answer to a join: the cells that this member holds and those that the
-// group lists for it. Unowned tells whether some cell has no owner. It returns the held cells to release now.
+// group lists for it. Unowned is true if some cell has no owner. It returns the held cells to release now.
 func (t *tenure) observe(now time.Duration, generation int64, held []int, listed map[int]bool, unowned bool) (release []int) {
 	if generation != t.newest {
 		t.newest, t.changedAt = generation, now
@@ -58,8 +58,8 @@
 		t.named = generation
 		return nil
 	}
-	isHiding := unowned && generation != t.named && now-t.changedAt >= releaseTime
-	if !isHiding && t.keeps(now, len(held), len(unlisted), len(listed)) {
+	blocksOther := unowned && generation != t.named && now-t.changedAt >= releaseTime
+	if !blocksOther && t.keeps(now, len(held), len(unlisted), len(listed)) {
 		return t.expired(now, unlisted)
 	}
 	t.named = generation
--- a/node/tenuremodel_test.go
+++ b/node/tenuremodel_test.go
@@ -161,7 +161,7 @@
 }
 
 // TestEachCellGetsAnOwner guards against a cell that stays without an owner for ever, since it was dealt to a member that keeps
-// another cell and never hears of it.
+// another cell and does not know of it.
 func TestEachCellGetsAnOwner(t *testing.T) {
 	const limit = 3 * time.Second
 	for _, size := range [][2]int{{12, 10}, {12, 4}, {5, 3}, {44, 10}} {
