Drain: keep idle connections open until clients are quiet

Cause: the drain of closed idle connections 75 ms after the signal, and net/http had done so at once, while clients that have not heard of the stop still used them.

TestRequestsAroundStopAreAnswered now checks the status (a header in parts over 3 s was answered with 400, which it took for an answer) and a caller that uses an idle connection late.

--- a/guard/conn.go
+++ b/guard/conn.go
@@ -41,6 +41,7 @@
 	}
 	g := c.guard
 	g.mu.Lock()
+	g.heardAt = time.Now()
 	s := c.account.state
 	if s == idle {
 		g.ledger.setState(c.account, header)
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -58,6 +58,7 @@
 	logged   map[string]time.Time // last log line of each reason
 	listener net.Listener         // nil before Listen
 	draining bool                 // Accept ends with its deadline
+	heardAt  time.Time            // when a connection was last accepted, or read from
 }
 
 // New returns a Guard.
@@ -210,6 +211,7 @@
 			return nil, err
 		}
 		g.mu.Lock()
+		g.heardAt = time.Now()
 		a, victims := g.ledger.add(func() { inner.Close() })
 		g.mu.Unlock()
 		g.closeAll(victims, tooManyConnections)
--- a/node/drain_test.go
+++ b/node/drain_test.go
@@ -19,41 +19,45 @@
 		v := c.startGraceful("vm-0")
 		So(eventually(v.ready), ShouldBeTrue)
 		const first, rest = "GET /q/" + id1 + " HTT", "P/1.1\r\nHost: x\r\n\r\n"
-		dial := func() net.Conn {
-			conn, err := net.Dial("tcp", v.callers)
-			So(err, ShouldBeNil)
-			So(conn.SetDeadline(time.Now().Add(20*time.Second)), ShouldBeNil)
-			return conn
-		}
 		send := func(conn net.Conn, text string) {
 			_, err := io.WriteString(conn, text)
 			So(err, ShouldBeNil)
 		}
-		isAnswered := func(conn net.Conn) bool {
+		status := func(conn net.Conn) int {
 			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
-			return err == nil && response.StatusCode > 0
+			if err != nil {
+				return 0
+			}
+			io.Copy(io.Discard, response.Body)
+			return response.StatusCode
 		}
-		used, unused, silent := dial(), dial(), dial()
-		opened := time.Now()
-		send(used, first+rest)
-		So(isAnswered(used), ShouldBeTrue)
-		time.Sleep(5*time.Second - v.node.stopServeTime() + 500*time.Millisecond) // net/http takes new connections for idle after 5 s
-
-		send(used, first)
-		send(unused, first[:1])
+		dial := func() net.Conn { // a connection that was used before
+			conn, err := net.Dial("tcp", v.callers)
+			So(err, ShouldBeNil)
+			So(conn.SetDeadline(time.Now().Add(20*time.Second)), ShouldBeNil)
+			send(conn, first+rest)
+			So(status(conn), ShouldEqual, http.StatusNotFound)
+			return conn
+		}
+		begun, late, idle, silent := dial(), dial(), dial(), dial()
+		send(begun, first)
 		time.Sleep(50 * time.Millisecond)
 		stopped := make(chan struct{})
 		start := time.Now()
 		go func() { v.stop(); close(stopped) }()
-		time.Sleep(300 * time.Millisecond)
-		send(used, rest)
-		So(isAnswered(used), ShouldBeTrue)
-		So(isAnswered(silent), ShouldBeFalse)
+		served := start.Add(v.node.stopServeTime())
 
-		time.Sleep(time.Until(start.Add(v.node.stopServeTime() + 300*time.Millisecond)))
-		So(time.Since(opened), ShouldBeGreaterThan, 5*time.Second)
-		send(unused, first[1:]+rest)
-		So(isAnswered(unused), ShouldBeTrue)
+		time.Sleep(300 * time.Millisecond)
+		send(begun, rest)
+		So(status(begun), ShouldEqual, http.StatusNotFound)
+		time.Sleep(time.Until(served.Add(-150 * time.Millisecond)))
+		send(idle, first+rest) // a caller that has not heard of the stop
+		So(status(idle), ShouldEqual, http.StatusNotFound)
+		send(late, first)
+		time.Sleep(time.Until(served.Add(300 * time.Millisecond)))
+		send(late, rest)
+		So(status(late), ShouldEqual, http.StatusNotFound)
+		So(status(silent), ShouldEqual, 0)
 		<-stopped
 		So(time.Since(start), ShouldBeLessThan, v.node.stopServeTime()+closeReserve)
 		_, err := net.Dial("tcp", v.callers)
